--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,292 @@
+"""The program itself: how it starts, refuses to start, ends, and lives within its descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rig import (
+    PATIENCE,
+    Client,
+    Discovery,
+    Message,
+    Server,
+    answer,
+    configuration,
+    grade,
+    request,
+    run,
+    status,
+    until,
+)
+
+from driftstair.__main__ import SERVE_ON, plan_end
+from driftstair.config import load
+
+ROOT = Path(__file__).parent.parent
+
+
+# The program, but with time enough after SIGTERM that a slow machine gives the same verdict.
+SLOWER = "import sys, driftstair.__main__ as program; program.SERVE_ON = 2.0; sys.exit(program.main())"
+
+
+async def start(
+    path: Path, code: str = "", env: Mapping[str, str] = os.environ, **options: Any
+) -> asyncio.subprocess.Process:
+    environment = {**env, "BALANCER_CONFIG": str(path)}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, *(("-c", code) if code else ("-m", "driftstair")), cwd=ROOT, env=environment,
+        stderr=asyncio.subprocess.PIPE, **options,
+    )  # fmt: skip
+
+
+class Program:
+    def __init__(self, process: asyncio.subprocess.Process, address: tuple[str, int]) -> None:
+        self.process = process
+        self.address = address
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection(*self.address))
+
+
+@asynccontextmanager
+async def program(document: dict[str, Any], folder: Path, **options: Any) -> AsyncIterator[Program]:
+    path = folder / "config.json"
+    path.write_text(json.dumps(document))
+    process = await start(path, **options)
+    try:
+        assert process.stderr is not None
+        while b"serving on" not in (line := await asyncio.wait_for(process.stderr.readline(), PATIENCE)):
+            assert line, "the node ended"
+        host, port = line.split()[-1].decode().rsplit(":", 1)
+        yield Program(process, (host, int(port)))
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+def test_sigterm_serves_on_then_finishes_what_is_held_and_ends_with_0(tmp_path: Path) -> None:
+    release = asyncio.Event()
+
+    async def waits(message: Message, writer: asyncio.StreamWriter) -> None:
+        if message.body == b"held":
+            await release.wait()
+        writer.write(answer(body=message.body))
+
+    async def test() -> None:
+        async with (
+            Server("s-1", waits) as server,
+            program(configuration(server), tmp_path, code=SLOWER) as node,
+        ):
+            holds, idle = await node.client(), await node.client()
+            assert status(await idle.ask(request(body=b"before"))) == 200
+            holds.writer.write(request(body=b"held"))
+            await until(lambda: len(server.seen) == 2)
+            node.process.send_signal(signal.SIGTERM)
+            late = await node.client()
+            up = await late.ask(request(target="/up", method="GET"))
+            while status(up) == 200:  # until the signal has arrived
+                up = await late.ask(request(target="/up", method="GET"))
+            new = await node.client()
+            got = await new.ask(request(body=b"after"))
+            assert (got.body, got.headers.get("connection")) == (b"after", None)
+            assert await idle.ended() == b""
+            release.set()
+            got = await holds.read()
+            assert (got.body, got.headers["connection"]) == (b"held", "close")
+            assert await asyncio.wait_for(node.process.wait(), PATIENCE) == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("aim_ms", "deadline_ms", "late", "serve_on"),
+    [(1000, 5000, 0.0, 2.4), (1000, 5000, 0.5, SERVE_ON), (9000, 9000, 0.0, SERVE_ON), (400, 1000, 0.0, 1.0)],
+)
+def test_after_sigterm_a_node_serves_on_as_long_as_it_can_still_answer_in_time(
+    aim_ms: int, deadline_ms: int, late: float, serve_on: float, tmp_path: Path
+) -> None:
+    assert SERVE_ON > 0.4  # s: so long new connections go on coming
+    document = configuration()
+    document["settings"]["Grades"] = [grade("page", "once", deadline_ms, aim_ms) | {"LateShare": late}]
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(document))
+    planned, within = plan_end(load({"BALANCER_CONFIG": str(path)}))
+    assert planned == pytest.approx(serve_on)
+    assert within == pytest.approx(min(3.0, deadline_ms / 1000) + 0.4)  # SIGKILL: 0.3 s later or more
+
+
+def test_sighup_moves_the_watch_and_keeps_list_and_requests(tmp_path: Path) -> None:
+    """The environment goes on naming the old address; the file's is newer. A bad file changes nothing."""
+    release = asyncio.Event()
+
+    async def waits(message: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer(body=message.body))
+
+    async def test() -> None:
+        async with (
+            Discovery() as old, Discovery() as new, Server("s-1", waits) as server, Server("s-2") as later,
+        ):
+            document = configuration(server, discovery=old.address)
+            environment = {**os.environ, "BALANCER_DISCOVERY": old.address}
+            async with program(document, tmp_path, env=environment) as node:
+                client, other = await node.client(), await node.client()
+                client.writer.write(request("order", body=b"held"))
+                await until(lambda: server.seen)
+                path = tmp_path / "config.json"
+                stderr = node.process.stderr
+                assert stderr is not None
+                unusable = json.dumps(document | {"discovery": 5})
+                for text, word in (("{", b"BALANCER_CONFIG"), (unusable, b"discovery")):
+                    path.write_text(text)
+                    node.process.send_signal(signal.SIGHUP)
+                    assert word in await asyncio.wait_for(stderr.readline(), PATIENCE)
+                path.write_text(json.dumps(document | {"discovery": new.address}))
+                node.process.send_signal(signal.SIGHUP)
+                await until(lambda: new.targets)
+                assert new.targets == ["GET /discovery/hosts?watch=1&from=0 HTTP/1.1"]
+                old.drop()
+                release.set()
+                assert (await client.read()).body == b"held"  # the list and the request are still there
+                new.push(3, later, full=True)
+                while not later.seen:
+                    assert status(await other.ask(request("order"))) == 200
+                assert node.process.returncode is None
+
+    run(test())
+
+
+def test_descriptors_stay_within_the_limit_and_all_are_served(tmp_path: Path) -> None:
+    most = 96
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+    async def test() -> None:
+        async with Server("s-1") as server:
+            document = configuration(server)
+            document["limits"]["sockets"] = most
+            async with program(document, tmp_path, preexec_fn=limit) as node:
+                clients = [await node.client() for _ in range(3 * most)]
+                served = await asyncio.gather(*(_served(node, client) for client in clients))
+                assert set(served) <= {200, 503}  # the breaker refuses some of so many at once
+                assert len(server.seen) == served.count(200) > 0
+                assert len(os.listdir(f"/proc/{node.process.pid}/fd")) <= most
+                assert node.process.returncode is None
+
+    run(test())
+
+
+async def _served(node: Program, client: Client) -> int:
+    """As clients do: where the node closes between requests, the request is sent anew on another one."""
+    while True:
+        try:
+            return status(await client.ask(request()))
+        except (asyncio.IncompleteReadError, OSError):
+            client = await node.client()
+
+
+def test_no_descriptor_left_neither_ends_the_node_nor_keeps_it_busy(tmp_path: Path) -> None:
+    """The process may hold fewer than it was told: what accept says then is no crash and no busy loop."""
+
+    def limit() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (30, 30))
+
+    async def test() -> None:
+        async with program(configuration(), tmp_path, preexec_fn=limit) as node:
+            clients = [await node.client() for _ in range(60)]
+            pid = node.process.pid
+            before = _cpu(pid)
+            await asyncio.sleep(0.5)
+            assert _cpu(pid) - before < 0.4
+            served = await asyncio.gather(*(_served(node, client) for client in clients))
+            assert set(served) == {503}  # it knows no server
+            assert node.process.returncode is None
+
+    run(test())
+
+
+def _cpu(pid: int) -> float:
+    """Seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _without(*path: str) -> Callable[[dict[str, Any]], None]:
+    def change(document: dict[str, Any]) -> None:
+        for key in path[:-1]:
+            document = document[key]
+        del document[path[-1]]
+
+    return change
+
+
+def _with(value: object, *path: str) -> Callable[[dict[str, Any]], None]:
+    def change(document: dict[str, Any]) -> None:
+        for key in path[:-1]:
+            document = document[key]
+        document[path[-1]] = value
+
+    return change
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (_without("listen"), "listen"),
+        (_with("here", "listen"), "listen"),
+        (_with("10.0.0.1:port", "discovery"), "discovery"),
+        (_with("xyz", "seed"), "seed"),
+        (_with(3, "limits", "sockets"), "limits.sockets"),
+        (_without("limits"), "limits"),
+        (_with({"version": 1}, "known"), "known"),
+        (_without("settings"), "settings"),
+        (_without("settings", "Grades"), "Grades"),
+        (_with("soon", "settings", "Limits", "DialTimeout"), "Limits.DialTimeout"),
+        (_with(0, "settings", "PeersTotal"), "PeersTotal"),
+        (_with(2.0, "settings", "Contract", "ColdShare"), "cold_share"),
+        (_with(None, "settings", "Zones"), "Zones"),
+        (_with("203.0.113.9:1", "listen"), "BALANCER_LISTEN"),
+    ],
+)
+def test_a_bad_configuration_is_one_line_that_names_the_key(
+    change: Callable[[dict[str, Any]], None], named: str, tmp_path: Path
+) -> None:
+    document = configuration()
+    change(document)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(document))
+
+    async def test() -> None:
+        process = await start(path)
+        _, stderr = await asyncio.wait_for(process.communicate(), PATIENCE)
+        assert process.returncode == 2
+        (line,) = stderr.decode().splitlines()
+        assert named in line
+
+    run(test())
+
+
+@pytest.mark.parametrize("text", [None, "{", "[]"])
+def test_a_configuration_file_that_is_none(text: str | None, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+
+    async def test() -> None:
+        process = await start(path)
+        _, stderr = await asyncio.wait_for(process.communicate(), PATIENCE)
+        assert (process.returncode, stderr.count(b"\n"), b"BALANCER_CONFIG" in stderr) == (2, 1, True)
+
+    run(test())
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,127 @@
+"""The rules over generated legal sequences of events, for all shapes of settings."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from world import BASE, MS, Game, RuleBroken, settings
+
+from lichenspring import Balancer, balance
+from lichenspring import interface as api
+
+SHAPES = st.fixed_dictionaries({
+    "list_mode": st.sampled_from(api.ListMode),
+    "tenants": st.sampled_from([(), (api.Tenant(0.7), api.Tenant(0.3))]),
+    "retry_after": st.booleans(),
+    "worth_by_work": st.booleans(),
+    "nodes": st.sampled_from([1, 5, 200]),
+    "key_rest": st.sampled_from([0, 50 * MS, 400 * MS]),
+    "max_attempts": st.sampled_from([1, 2, 4]),
+    "report_fields": st.sampled_from([(), ("utilization",), ("completed_per_s", "utilization")]),
+})
+
+
+def classes(group: api.Group) -> tuple[api.RequestClass, ...]:
+    return (
+        api.RequestClass(300 * MS, 1.0, 0.0, api.Repeat.SAFE),
+        api.RequestClass(300 * MS, 5.0, 0.2, api.Repeat.KEYED, group, 700 * MS),
+        api.RequestClass(200 * MS, 9.0, 0.0, api.Repeat.UNSAFE, in_order=True),
+        api.RequestClass(600 * MS, 2.0, 0.0, api.Repeat.SAFE, in_order=True),
+    )
+
+
+@hypothesis_settings(max_examples=150, deadline=None, derandomize=True, database=None)
+@given(SHAPES, st.sampled_from(api.Group), st.booleans(), st.integers(0, 1 << 32))
+def test_the_rules_hold(shape: dict[str, object], group: api.Group, stream: bool, seed: int) -> None:
+    rules = settings(classes=classes(group), **shape)
+    Game(Balancer(rules, seed), rules, Random(seed), stream).play(steps=250)
+
+
+def broken_rule(rules: api.Settings, games: int = 60) -> str:
+    """What the checker says of the module as it is now, over many sequences."""
+    for seed in range(games):
+        try:
+            Game(Balancer(rules, seed), rules, Random(seed)).play(steps=250)
+        except RuleBroken as broken:
+            return str(broken).split(":")[0]
+    return "none"
+
+
+RULES = settings(classes=classes(api.Group.CELL), key_rest=400 * MS)
+
+
+def test_the_checker_finds_nothing_in_the_module_as_it_is() -> None:
+    assert broken_rule(RULES) == "none"
+
+
+def test_the_checker_sees_a_lost_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_end", lambda self, entry: None)
+    assert broken_rule(RULES) == "lost"
+
+
+def test_the_checker_sees_an_effect_that_may_happen_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(balance.Open, "may_send_to", lambda self, server, now: True)
+    assert broken_rule(RULES) == "duplicate"
+
+
+def test_the_checker_sees_a_refusal_that_invites_a_second_effect(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(balance.Open, "may_refuse", lambda self: True)
+    assert broken_rule(RULES) == "duplicate"
+
+
+def test_the_checker_sees_a_drain_that_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    enter = Balancer._enter
+
+    def enter_all_as_ready(self: Balancer, now: int, server: api.Server) -> None:
+        enter(self, now, server._replace(state=api.ServerState.READY))
+
+    monkeypatch.setattr(Balancer, "_enter", enter_all_as_ready)
+    assert broken_rule(RULES) == "drain"
+
+
+def test_the_checker_sees_a_cold_server_pushed_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_warmth", lambda self, now, server: 1.0)
+    assert broken_rule(RULES) == "cold"
+
+
+def test_the_checker_sees_requests_of_a_key_out_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_line_up", Balancer._send_first)
+    assert broken_rule(RULES) == "order"
+
+
+def test_the_checker_sees_a_key_that_does_not_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Balancer, "_rest", lambda self, now, entry, result: None)
+    assert broken_rule(RULES) == "order"
+
+
+def test_the_checker_sees_a_second_copy(monkeypatch: pytest.MonkeyPatch) -> None:
+    settle = Balancer._settle
+
+    def copy(self: Balancer, now: int, outcome: api.Outcome) -> None:
+        settle(self, now, outcome)
+        for entry in list(self._open.values()):
+            if entry.kind.repeat is api.Repeat.SAFE and not entry.closed:
+                self._send_first(now, entry)
+
+    monkeypatch.setattr(Balancer, "_settle", copy)
+    assert broken_rule(RULES) == "duplicate"
+
+
+def test_queues_leave_no_residue() -> None:
+    balancer = Balancer(RULES, 3)
+    game = Game(balancer, RULES, Random(3))
+    game.play(steps=400)
+    game._pass(5_000 * MS)
+    assert (balancer._turns, balancer._open, balancer._in_flight.count) == ({}, {}, 0)
+
+
+def test_the_same_events_give_the_same_actions() -> None:
+    games = [Game(Balancer(BASE, 5), BASE, Random(9)) for _ in range(2)]
+    for game in games:
+        game.play(steps=300)
+    assert games[0].log == games[1].log
+    assert sum(len(actions) for _, actions in games[0].log) > 50
