Count a server's silence from when it was listed, not from time zero

A server that had not answered yet counted as silent since ever: a single time-out ejected it, and for up to eight seconds in place of two.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -174,11 +174,16 @@
     busy: float = 0.0  # part of its cores in use, as last reported
     pace: float = 1.0  # its response times over what is usual for their class
     answered: int = 0  # when it last did
+    listed: int = 0  # when this node heard of it, or of its last start
     failures: float = 0.0
     ejected_until: int = 0
     doublings: int = 0
     trial: bool = False
 
+    def silence(self, now: int) -> int:
+        """For how long it could have answered and has not. One just listed has not been silent since ever."""
+        return now - max(self.answered, self.listed)
+
     def forgive(self) -> None:
         self.failures = 0.0
         self.ejected_until = 0
@@ -735,7 +740,8 @@
             return  # it serves on standing connections: slow to connect to, not down
         failed = float(result is not Result.OK)
         # A node that sees a server seldom can't wait for a second failure, nor can it for a second success.
-        weight = FAIL_WEIGHT if lately or result is Result.CONNECT_FAILED else EJECT_ABOVE
+        seldom = backend.silence(now) >= ANSWERED_LATELY and result is not Result.CONNECT_FAILED
+        weight = EJECT_ABOVE if seldom else FAIL_WEIGHT
         if result is Result.TIMEOUT and now - backend.answered < ANSWERS:
             weight = SLOW_WEIGHT
         backend.failures += weight * (failed - backend.failures)
@@ -757,7 +763,7 @@
         return 1 + sum(1 for other in self._ready if other.ejected_until) <= part * len(self._ready)
 
     def _eject(self, now: int, backend: Backend) -> None:
-        seldom = min(now - backend.answered, 4 * EJECT_TIME)  # a shorter time would pass without a visit
+        seldom = min(backend.silence(now), 4 * EJECT_TIME)  # a shorter time would pass without a visit
         backend.ejected_until = now + self._jittered(max(seldom, EJECT_TIME << backend.doublings), 0.5)
 
     # The list of servers.
@@ -792,11 +798,11 @@
         backend = self._backends.get(server.id)
         if backend is None:
             # A random first part of a token, so that the nodes' first requests to a cold server spread.
-            self._backends[server.id] = Backend(server, self._random.random(), now)
+            self._backends[server.id] = Backend(server, self._random.random(), now, listed=now)
             return
         if server.started != backend.entry.started:
             backend.forgive()
-            backend.tokens, backend.refilled = self._random.random(), now
+            backend.tokens, backend.refilled, backend.listed = self._random.random(), now, now
         backend.entry = server
 
     def _rebuild(self) -> None:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -353,6 +353,21 @@
     assert node.serve(42) == home
 
 
+def test_a_server_not_heard_from_yet_is_not_taken_for_one_long_silent() -> None:
+    """Just after its start a node stood still for a moment: each server that had not answered by then was
+    left out for up to eight seconds by a single time-out, and held the place of one that was truly slow."""
+    node = Node(servers=12)
+    node.wait(100 * MS)
+    first = node.ask(0, 42)[0]
+    assert isinstance(first, api.Send)
+    node.end(first, Result.ERROR)
+    backend = node.balancer._backends[first.server]
+    assert not backend.ejected_until
+    node.balancer._judge(node.now, backend, Result.ERROR, 0)
+    assert backend.ejected_until
+    assert backend.ejected_until - node.now <= 2 * SECOND
+
+
 def test_a_trial_whose_connection_fails_is_over() -> None:
     """A trial that told nothing stayed on, and its server out, for good."""
     node = Node()
