--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -59,7 +59,7 @@
 KIND_LEAST = 0.1  # share
 DRAWS = 12  # tries to find two servers that may be used before any usable one is taken
 FAIL_WEIGHT = 0.3  # part of the newest outcome in a server's share of failures: two in a row eject
-SLOW_WEIGHT = 0.15  # the same for a time-out of a server that answers others: it is slow, not down
+SLOW_WEIGHT = 0.15  # the same for a time-out or a reset of a server that answers others: it is not down
 ANSWERS = SECOND // 2  # a server that did so lately does
 FLEET_WEIGHT = 0.02  # the same for all servers together: the last fifty outcomes or so
 EJECT_ABOVE = 0.5  # share of failures
@@ -742,7 +742,7 @@
         # A node that sees a server seldom can't wait for a second failure, nor can it for a second success.
         seldom = backend.silence(now) >= ANSWERED_LATELY and result is not Result.CONNECT_FAILED
         weight = EJECT_ABOVE if seldom else FAIL_WEIGHT
-        if result is Result.TIMEOUT and now - backend.answered < ANSWERS:
+        if result in (Result.TIMEOUT, Result.RESET) and now - backend.answered < ANSWERS:
             weight = SLOW_WEIGHT
         backend.failures += weight * (failed - backend.failures)
         self._fleet_failures += FLEET_WEIGHT * (failed - self._fleet_failures)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -368,6 +368,21 @@
     assert backend.ejected_until - node.now <= 2 * SECOND
 
 
+def test_broken_connections_do_not_eject_a_server_that_answers_others() -> None:
+    """A network that broke one connection in twelve kept a quarter of the servers ejected at all times."""
+    node = Node(servers=12)
+    quieten(node)
+    home = node.serve(42)
+    backend = node.balancer._backends[home or b""]
+    for result in (Result.RESET, Result.RESET, Result.OK, Result.RESET, Result.RESET):
+        node.balancer._judge(node.now, backend, result, 0)
+    assert not backend.ejected_until
+    node.now += SECOND  # one that answers nobody may be down
+    for _ in range(2):
+        node.balancer._judge(node.now, backend, Result.RESET, 0)
+    assert backend.ejected_until
+
+
 def test_a_trial_whose_connection_fails_is_over() -> None:
     """A trial that told nothing stayed on, and its server out, for good."""
     node = Node()
