Leave out of a server's time what the node itself stood still

The node told all of that as the servers' response time, and where the stop fell between two sockets it looked at its timers first and gave up answers that lay unread.

A timer that comes late now has the sockets read first, and the loop's own pulse tells how long the node was held up.

--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -24,6 +24,7 @@
 MS = 1_000_000  # ns
 TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
+BEAT = 20 * MS  # the loop's own pulse, and how far it may come late before the process counts as held up
 REPORT_MOST = 1024  # bytes of a load report
 WATCH_PAUSE = 1.0  # s, where lists are pushed: from the end of a watch to the next
 
@@ -85,6 +86,8 @@
         self._last_number = 0
         self._warned = False  # of load reports
         self._ready: set[api.ServerId] = set()
+        self._held = 0  # ns, all told, for which the process was held up
+        self._beat_due = monotonic_ns()
         self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
         self._discovery = Discovery(
             config.discovery, config.known.version, max(1.0, config.dial_timeout / 1e9),
@@ -95,6 +98,8 @@
 
     def start(self) -> None:
         self._pools.start()
+        self._beat_due = monotonic_ns()
+        self._beat()
         self._act_on(self._balancer.start(monotonic_ns()))
         self._follow(ListKind.CACHED, self._config.known.hosts)
         if self._config.settings.list_mode is ListMode.PUSHED:
@@ -111,6 +116,17 @@
         self._config = replace(self._config, discovery=config.discovery)
         self._discovery.move(config.discovery)
 
+    def _beat(self) -> None:
+        self._held = self._held_up()
+        self._beat_due = monotonic_ns() + BEAT
+        self._loop.call_later(BEAT / 1e9, self._beat)
+
+    def _held_up(self) -> int:
+        """For how long the process has been held up since its start: it may be stopped, or its core taken.
+        Guards against a module that takes this for the servers' time, and refuses or ejects for it."""
+        late = monotonic_ns() - self._beat_due
+        return self._held + (late if late > BEAT else 0)
+
     def can_serve(self) -> bool:
         return bool(self._ready)
 
@@ -266,7 +282,7 @@
         now = monotonic_ns()
         latest = request.call.deadline - TRANSIT
         expires = min(latest, now + action.time_out) if action.time_out else latest
-        ended = partial(self._ended, request, index, action.server, now)
+        ended = partial(self._ended, request, index, action.server, now - self._held_up())
         attempt = Attempt(pool, request.call.head, request.call.body, expires, ended)
         request.out[index] = attempt
         attempt.start()
@@ -275,7 +291,7 @@
         self, request: Open, index: int, server: api.ServerId, since: int,
         result: Result, answer: Answer | None,
     ) -> None:
-        elapsed = monotonic_ns() - since
+        elapsed = monotonic_ns() - self._held_up() - since
         del request.out[index]
         if answer is not None and not request.answered:
             if result is Result.OK:
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -19,6 +19,7 @@
 HEAD_MOST = 16 << 10
 INTERIM_MOST = 16  # 1xx answers ahead of one
 REST = 5_000_000  # ns that a connection is left alone after an answer: what is behind it may be on its way
+LATE = 5_000_000  # ns that a timer may come behind its time before the process counts as held up
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
 IDLE_SWEEPS = 20  # in that time
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
@@ -109,9 +110,18 @@
         self._timer = asyncio.get_running_loop().call_later(delay / 1000, self._expire, at)
 
     def _expire(self, at: int) -> None:
-        if monotonic_ns() < at:
+        now = monotonic_ns()
+        if now < at:
             self._expires_at(at)
             return
+        if now > at + LATE:
+            # The loop looks at timers ahead of its sockets. Guards against a process that was held up: what
+            # was answered meanwhile is with the kernel, and would be given up unread.
+            self._timer = asyncio.get_running_loop().call_later(0.001, self._give_up)
+        else:
+            self._give_up()
+
+    def _give_up(self) -> None:
         written = self._connection is not None and self._connection.written
         self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
 
