Tell refused clients to come back when that can be worth something

A refused client was told to stay away for its class's aim. Where an answer past the aim is worth nothing the longest wait is told now.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -506,8 +506,11 @@
             self._actions.append(api.Fail(entry.request.id))
 
     def _refuse(self, entry: Open) -> None:
-        wait = min(entry.kind.aim, self._settings.max_retry_after) if self._settings.retry_after else 0
-        self._actions.append(api.Refuse(entry.request.id, wait))
+        # Past its aim an answer is worth nothing, and who comes back for one takes the room of another.
+        wait = self._settings.max_retry_after
+        if entry.kind.late_worth:
+            wait = min(entry.kind.aim, wait)
+        self._actions.append(api.Refuse(entry.request.id, wait if self._settings.retry_after else 0))
 
     def _close(self, now: int, request: int) -> None:
         entry = self._open.get(request)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -50,6 +50,15 @@
     assert 0 < refusal.retry_after <= 2 * SECOND
 
 
+def test_who_is_refused_is_told_to_come_back_when_that_may_still_be_worth_something() -> None:
+    """Refused clients came back after their aim, when no answer was worth anything any more: during a release
+    each request was tried 2.3 times, and the retries took what room there was."""
+    for retry_after in (True, False):
+        node = Node(settings(retry_after=retry_after), servers=0)
+        waits = [node.ask(class_index)[0].retry_after for class_index in range(3)]  # type: ignore[union-attr]
+        assert waits == ([2 * SECOND, KEYED.aim, 2 * SECOND] if retry_after else [0, 0, 0])
+
+
 def test_response_times_above_the_target_lower_the_cap() -> None:
     node = Node(one_class(), servers=6)
     for _ in range(4):
