--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -64,6 +64,7 @@
 FLEET_WEIGHT = 0.02  # the same for all servers together: the last fifty outcomes or so
 EJECT_ABOVE = 0.5  # share of failures
 EJECT_TIMES_FLEET = 2.5  # and so much above the fleet's: what fails everywhere is no server's fault
+EJECT_WORSE = 0.25  # and so much above that of one that is out: takes its place where there is no other
 EJECT_PART = 1 / 4  # of the list at most: more leaves the others with more than they can carry
 UNREACHABLE_PART = 3 / 4  # the same where connections fail: that is no sign of load
 ANSWERED_LATELY = 2 * SECOND  # a failed connection is no failure of a server that did
@@ -186,9 +187,7 @@
 
     def forgive(self) -> None:
         self.failures = 0.0
-        self.ejected_until = 0
-        self.doublings = 0
-        self.trial = False
+        self.ejected_until, self.doublings, self.trial = 0, 0, False
 
 
 @dataclass(slots=True, eq=False)
@@ -507,9 +506,8 @@
 
     def _refuse(self, entry: Open) -> None:
         # Past its aim an answer is worth nothing, and who comes back for one takes the room of another.
-        wait = self._settings.max_retry_after
-        if entry.kind.late_worth:
-            wait = min(entry.kind.aim, wait)
+        most = self._settings.max_retry_after
+        wait = min(entry.kind.aim, most) if entry.kind.late_worth else most
         self._actions.append(api.Refuse(entry.request.id, wait if self._settings.retry_after else 0))
 
     def _close(self, now: int, request: int) -> None:
@@ -755,15 +753,20 @@
                 self._eject(now, backend)
             else:
                 backend.forgive()
-        elif failed and not backend.ejected_until and self._is_outlier(backend, result):
+        elif failed and not backend.ejected_until and self._finds_place(backend, result):
             self._eject(now, backend)
 
-    def _is_outlier(self, backend: Backend, result: Result) -> bool:
+    def _finds_place(self, backend: Backend, result: Result) -> bool:
         part = UNREACHABLE_PART if result is Result.CONNECT_FAILED else EJECT_PART
         outlier = backend.failures >= EJECT_TIMES_FLEET * self._fleet_failures
         if backend.failures < EJECT_ABOVE or not (outlier or result is Result.CONNECT_FAILED):
             return False
-        return 1 + sum(1 for other in self._ready if other.ejected_until) <= part * len(self._ready)
+        out = [other for other in self._ready if other.ejected_until]
+        mildest = min(out, key=lambda other: other.failures, default=backend)
+        if 1 + len(out) > part * len(self._ready) and mildest.failures < backend.failures - EJECT_WORSE:
+            mildest.forgive()  # a few time-outs in a busy moment must not keep in a server that fails all
+            out.remove(mildest)
+        return 1 + len(out) <= part * len(self._ready)
 
     def _eject(self, now: int, backend: Backend) -> None:
         seldom = min(backend.silence(now), 4 * EJECT_TIME)  # a shorter time would pass without a visit
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -454,6 +454,25 @@
     assert len({node.serve(key) for key in range(1, 200)}) >= 6
 
 
+def test_a_server_that_fails_all_takes_the_place_of_one_that_was_ejected_for_less() -> None:
+    """Servers that timed out a few times in the first busy moment held all places among the ejected. One
+    that answered every request with an error stayed in for a second and a half, and got more than any."""
+    node = Node(servers=8)
+    mild, milder, bad = [node.balancer._backends[name] for name in sorted(node.balancer._backends)][:3]
+    for backend in (milder, mild):
+        backend.answered = node.now
+        while not backend.ejected_until:
+            node.balancer._judge(node.now, backend, Result.TIMEOUT, 0)
+    mild.failures += 0.1
+    for _ in range(3):
+        node.balancer._judge(node.now, bad, Result.ERROR, 0)
+        assert not bad.ejected_until  # as bad as those that are out
+    for _ in range(3):
+        node.balancer._judge(node.now, bad, Result.ERROR, 0)
+    assert bad.ejected_until and mild.ejected_until
+    assert not milder.ejected_until
+
+
 def test_a_cold_server_gets_no_more_than_its_budget() -> None:
     node = Node()
     for key in range(1, 300):
