Keep the samples of servers far slower than the rest out of the breaker

A server's response times against what is usual, its time-outs counted, now tell it apart; past twice that they count against it alone. What all servers do is what is usual, so a jam of all still closes the breaker.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -53,6 +53,7 @@
 FULL_COUNTS = 2.0  # a server always full is compared as with so many more requests in flight
 BUSY_ABOVE = 0.7  # part of its cores in use: above it a server counts as with up to one more in flight
 PACE_WEIGHT = 0.05  # part of the newest response time in a server's pace
+SLOW_ABOVE = 2.0  # slowness: its response times tell of it alone then, and close the breaker for no other
 KIND_WEIGHT = 0.1  # part of the newest report in what the servers of a kind are held to be busy
 KIND_REPORTS = 3  # fewer say nothing
 KIND_GAIN = 0.3  # of the way, in logarithms, that a kind's share goes in a window to where all are as busy
@@ -174,6 +175,7 @@
     """Share of full answers, lately, by class: a server may have room for some and turn others away."""
     busy: float = 0.0  # part of its cores in use, as last reported
     pace: float = 1.0  # its response times over what is usual for their class
+    slowness: float = 1.0  # the same with what was waited for answers that did not come
     answered: int = 0  # when it last did
     listed: int = 0  # when this node heard of it, or of its last start
     failures: float = 0.0
@@ -271,20 +273,18 @@
         self._arrivals = 0  # of all tenants
         self._shares: dict[int, tuple[float, int]] = {}  # a tenant's credit, and arrivals at its last request
         self._later: list[tuple[int, int, Callable[[int], None]]] = []  # a heap: when, number, what to do
-        self._laters = 0
+        self._laters = self._failed_calls = 0
         self._lost_idle = self._lost_others = 0.0  # share of attempts without an answer, by connection
-        self._connect_failures = 0.0  # share of new connections
+        self._fleet_failures = self._connect_failures = 0.0  # share of attempts, and of new connections
         self._trusted_idle = self._distrusted = 0  # idle time of a connection that is trusted, and since when
         self._kinds: defaultdict[int, Kind] = defaultdict(Kind)
         self._turns: dict[int, Turns] = {}  # by key
-        self._fleet_failures = 0.0
         self._retry_budget = RETRY_BURST
         self._key_counts: dict[int, float] = {}  # arrivals, older ones fading
         self._spread: dict[int, int] = {}  # hot keys: how many servers each goes to
         self._sent = 0  # attempts to warm servers in this window
         self._rate = 0.0  # attempts per nanosecond and unit of a warm server's weight, lately
         self._watching = False
-        self._failed_calls = 0
         self._actions: list[api.Action] = []
 
     # Events.
@@ -342,8 +342,7 @@
     # The breaker.
 
     def _is_idle(self) -> bool:
-        """By the servers' own reports: a long tail is not from crowding then. They are late, so the aim
-        itself still binds."""
+        """By their own reports: a long tail is not from crowding then. They are late, so the aim binds."""
         told = "utilization" in self._settings.report_fields
         return told and sum(backend.busy for backend in self._ready) < IDLE_BELOW * len(self._ready)
 
@@ -467,11 +466,13 @@
         if attempt.backend.ejected_until or self._warmth(now, attempt.backend.entry) < 1.0:
             return  # it tells of that server: silent and cold ones would close the breaker for all the others
         breaker = self._breakers[entry.request.class_index]
-        if attempt.result is Result.OK:
-            breaker.samples.append(elapsed)
-            attempt.backend.pace += PACE_WEIGHT * (elapsed / breaker.typical - attempt.backend.pace)
-        elif attempt.result is Result.TIMEOUT:
-            breaker.samples.append(CENSORED * elapsed)
+        if attempt.result in (Result.OK, Result.TIMEOUT):
+            backend, answered, ratio = attempt.backend, attempt.result is Result.OK, elapsed / breaker.typical
+            backend.slowness += PACE_WEIGHT * (ratio - backend.slowness)
+            if answered:
+                backend.pace += PACE_WEIGHT * (ratio - backend.pace)
+            if backend.slowness < SLOW_ABOVE:
+                breaker.samples.append(elapsed if answered else CENSORED * elapsed)
         elif attempt.result is Result.FULL and not again:  # a fast failure, but no sign of a fast server
             breaker.samples.append(CENSORED * entry.kind.aim)
 
@@ -813,8 +814,7 @@
 
     def _rebuild(self) -> None:
         # Attempts hold their server themselves: gone ones need no place here, and would fill it over months.
-        kept = {key: one for key, one in self._backends.items() if one.entry.state is not ServerState.GONE}
-        self._backends = kept
+        self._backends = {k: b for k, b in self._backends.items() if b.entry.state is not ServerState.GONE}
         ids = sorted(key for key, one in self._backends.items() if one.entry.state is ServerState.READY)
         self._ready = [self._backends[key] for key in ids]
         self._table = self._filled_table()
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -157,6 +157,31 @@
     assert admitted(node) >= 55
 
 
+def test_a_few_slow_servers_do_not_close_the_breaker_for_all_the_others() -> None:
+    """Four of thirteen servers turned slow: their part of the samples alone held the cap at five requests in
+    flight, and two thirds of all were refused for ten seconds while the others had next to nothing to do."""
+    node = Node(one_class(aim=200 * MS), servers=8)
+    slow = sorted(node.balancer._backends)[:3]
+    for turn in range(30):
+        sends = [send for key in range(30) for send in node.ask(0, 1 + 30 * turn + key)]
+        for among_slow, elapsed in ((False, 15 * MS), (True, 15 * MS if turn < 6 else 190 * MS)):
+            node.wait(elapsed)
+            for send in sends:
+                if isinstance(send, api.Send) and (send.server in slow) is among_slow:
+                    node.end(send, Result.OK, elapsed)
+        node.wait(300 * MS)
+    assert not any(backend.ejected_until for backend in node.balancer._ready)
+    assert admitted(node) >= 30
+
+
+def test_all_servers_turning_slow_together_still_closes_the_breaker() -> None:
+    """A server is slow against what is usual, and what all do becomes that."""
+    node = Node(one_class(aim=200 * MS), servers=8)
+    for elapsed in [15 * MS] * 4 + [500 * MS] * 12:
+        window(node, 30, elapsed)
+    assert admitted(node) < 30
+
+
 def test_an_answer_in_no_time_is_no_division_by_zero() -> None:
     node = Node()
     node.serve(1, elapsed=0)
