Weigh a time-out on an idle connection a quarter of a reset

With 40 nodes a server hears from a node every 2.4 s, so nearly every attempt, and with it every time-out of a slow server, is on a connection that idled for more than IDLE_SURE. Two in a row passed for connections dropped unseen; the idle ones of all servers went, and the slow servers' time-outs were taken for cancelled and judged by nobody.

At fault: Balancer._note_connection, which gave a time-out the weight of a reset.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -74,7 +74,8 @@
 COLD_BURST = 2.0  # requests that a cold server's budget may save up
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
 LOST_WEIGHT = 0.2  # part of the newest attempt in the shares that idle, new and other connections lose
-LOST_ABOVE = 0.3  # two in a row: idle connections are dropped unseen
+SILENT_WEIGHT = 0.05  # the same for an idle one's time-out: where servers are seen seldom, so is a slow one's
+LOST_ABOVE = 0.3  # two resets in a row or eight time-outs: idle connections are dropped unseen
 LOST_TIMES_NEW = 2.0  # and so much above the share of the others: what they lose too is not for idling
 CONNECT_LEAST = 0.1  # share of new connections that fail; one below it is none
 CONNECT_COUNTS = 8.0  # where all fail, a server without an idle one counts as with so many more in flight
@@ -706,7 +707,8 @@
         if attempt.idle <= IDLE_SURE:
             self._lost_others += LOST_WEIGHT * (lost - self._lost_others)
             return False
-        self._lost_idle += LOST_WEIGHT * (lost - self._lost_idle)
+        weight = SILENT_WEIGHT if attempt.result is Result.TIMEOUT else LOST_WEIGHT
+        self._lost_idle += weight * (lost - self._lost_idle)
         if not lost or self._lost_idle < max(LOST_ABOVE, LOST_TIMES_NEW * self._lost_others):
             return False
         self._trusted_idle, self._distrusted = max(IDLE_SURE, attempt.idle // 2), now
