--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -73,8 +73,7 @@
 COLD_CAUTION = 0.8  # of what a warm server takes: a cold server's keys are cold too and cost more
 COLD_BURST = 2.0  # requests that a cold server's budget may save up
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
-LOST_WEIGHT = 0.2  # part of the newest attempt in the shares that idle, new and other connections lose
-SILENT_WEIGHT = 0.05  # the same for an idle one's time-out: where servers are seen seldom, so is a slow one's
+LOST_WEIGHT, SILENT_WEIGHT = 0.2, 0.05  # part of the newest in what each sort loses; of an idle time-out
 LOST_ABOVE = 0.3  # two resets in a row or eight time-outs: idle connections are dropped unseen
 LOST_TIMES_NEW = 2.0  # and so much above the share of the others: what they lose too is not for idling
 CONNECT_LEAST = 0.1  # share of new connections that fail; one below it is none
@@ -354,8 +353,7 @@
         """A class stops at its own threshold, and short of those of the classes that are worth more. All
         stop sooner where fewer than half of all attempts are answered: overdriven servers need to rest."""
         brake = min(1.0, 2.0 * (1.0 - self._lost_others))
-        start = self._start_cap()
-        thresholds = [breaker.threshold(start) for breaker in self._breakers]
+        thresholds = [breaker.threshold(self._start_cap()) for breaker in self._breakers]
         values = [self._value(index) for index in range(len(thresholds))]
         for index, own in enumerate(thresholds):
             above = [
