Let a cold server's share follow what warm ones took lately, not what they take

A cold server's budget is a part of what warm ones are sent, so each refusal lowered it as well, and all nodes crowded the few warm servers.

--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -355,13 +355,11 @@
         brake = min(1.0, 2.0 * (1.0 - self._lost_others))
         thresholds = [breaker.threshold(self._start_cap()) for breaker in self._breakers]
         values = [self._value(index) for index in range(len(thresholds))]
-        for index, own in enumerate(thresholds):
-            above = [
-                (RESERVE if value > WORTH_MORE * values[index] else 1.0) * other
-                for other, value in zip(thresholds, values, strict=True)
-                if value > WORTH_ABOVE * values[index]
-            ]
-            self._caps[index] = brake * min([own, *above])
+        for index, cap in enumerate(thresholds):
+            for other, value in zip(thresholds, values, strict=True):
+                if value > WORTH_ABOVE * values[index]:
+                    cap = min(cap, (RESERVE if value > WORTH_MORE * values[index] else 1.0) * other)
+            self._caps[index] = brake * cap
 
     def _admits(self, now: int, request: api.Request) -> bool:
         part = OVER_SHARE_PART if self._is_over_share(request.tenant) else 1.0
@@ -640,7 +638,9 @@
         warm = (backend.entry for backend in self._ready if self._warmth(now, backend.entry) >= 1.0)
         weight = sum(server.weight for server in warm)
         if weight:
-            self._rate += (1 - KEEP) * (self._sent / weight / PERIOD - self._rate)
+            # Falls slowly: while the breaker refuses much, cold servers would get the less for it too.
+            followed = self._rate + (1 - KEEP) * (self._sent / weight / PERIOD - self._rate)
+            self._rate = max(followed, PROVEN_FADES * self._rate)
         self._sent = 0
 
     def _load(self, now: int, class_index: int, backend: Backend) -> float:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -512,6 +512,23 @@
     assert got[cold.id] > 20
 
 
+def test_a_cold_server_gets_its_share_while_refusals_keep_the_warm_ones_half_idle() -> None:
+    """While the breaker refused most, warm servers got little, cold ones a part of that, and all crowded
+    the few warm ones the more."""
+    node = Node()
+    for _ in range(10):
+        for key in range(1, 61):
+            node.serve(key)
+        node.wait(SECOND // 2)
+    for key in range(1, 9):
+        node.serve(key)
+        node.wait(SECOND // 2)
+    cold = server(9, started=node.now)
+    node.tell(api.ServerList(api.ListKind.DELTA, (cold,)))
+    node.wait(SECOND)
+    assert Counter(node.serve(key) for key in range(1, 301))[cold.id] == 2
+
+
 def test_where_most_servers_are_cold_the_rest_is_not_one_servers() -> None:
     node = Node(servers=8)
     cold = [server(number, started=node.now) for number in range(8, 60)]
