Let the pauses between watches grow, and differ from node to node

The longest pause with the three seconds of silence and a dial stays under the 6 s after which news count as told, which the test of that now asks of the longest one.

At fault: Node._watch_failed with WATCH_PAUSE.

--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -9,6 +9,7 @@
 from functools import partial
 from hashlib import blake2b
 from math import inf
+from random import Random
 from time import monotonic_ns, time_ns
 from typing import Protocol
 
@@ -26,7 +27,9 @@
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
 BEAT = 20 * MS  # the loop's own pulse, and how far it may come late before the process counts as held up
 REPORT_MOST = 1024  # bytes of a load report
-WATCH_PAUSE = 1.0  # s, where lists are pushed: from the end of a watch to the next
+WATCH_PAUSE = 0.5  # s, where lists are pushed: from the end of a watch to the next; doubles each time
+WATCH_PAUSE_MOST = 1.5  # s; silence takes 3 s to notice, and news count as told after 6
+WATCH_DOUBLINGS = 4  # of that pause, at most
 
 
 def digest(text: str | bytes) -> bytes:
@@ -86,6 +89,8 @@
         self._last_number = 0
         self._warned = False  # of load reports
         self._ready: set[api.ServerId] = set()
+        self._random = Random(config.seed)
+        self._failed_watches = 0  # since the list was last told of
         self._held = 0  # ns, all told, for which the process was held up
         self._beat_due = monotonic_ns()
         self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
@@ -324,14 +329,21 @@
     # The list of servers.
 
     def _list_came(self, update: HostList) -> None:
+        self._failed_watches = 0
         self._follow(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
 
     def _watch_failed(self) -> None:
         if self._config.settings.list_mode is ListMode.PUSHED:
-            self._loop.call_later(WATCH_PAUSE, self._discovery.watch)
+            self._loop.call_later(self._watch_pause(), self._discovery.watch)
         else:
             self._tell(api.ServerList(ListKind.FAILED, ()))
 
+    def _watch_pause(self) -> float:
+        """Grows and differs from node to node: all lose their watches at once, and would ask together."""
+        pause = WATCH_PAUSE * (1 << min(self._failed_watches, WATCH_DOUBLINGS))
+        self._failed_watches += 1
+        return min(WATCH_PAUSE_MOST, pause) * self._random.uniform(0.5, 1.0)
+
     def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
         servers = tuple(self._server(host) for host in hosts)
         leaving = set() if kind is ListKind.DELTA else set(self._pools.servers())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 
 from driftstair.net import discovery
 from driftstair.net.discovery import parse_address
-from driftstair.net.node import WATCH_PAUSE, digest
+from driftstair.net.node import WATCH_PAUSE, WATCH_PAUSE_MOST, digest
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
 
@@ -120,7 +120,31 @@
     counts_as_told = 6.0
     dial = 1.0  # at most, on this machine's own agent
     assert discovery.SILENCE > 2.0  # an empty line comes as often
-    assert discovery.SILENCE + WATCH_PAUSE + dial < counts_as_told
+    assert discovery.SILENCE + WATCH_PAUSE_MOST + dial < counts_as_told
+
+
+def test_a_discovery_that_fails_is_asked_with_growing_pauses_that_differ_from_node_to_node() -> None:
+    """Forty nodes lose their watches in one moment, and each asked again exactly a second later."""
+
+    async def pauses(seed: str) -> list[float]:
+        document = configuration() | {"seed": seed}
+        async with Discovery() as source, Rig(document | {"discovery": source.address}) as rig:
+            found = [rig.node._watch_pause() for _ in range(2000)]
+            rig.watch()
+            await until(lambda: source.targets)
+            source.push(9, full=True)
+            await until(lambda: rig.spy.lists(ListKind.FULL))
+            assert rig.node._watch_pause() <= WATCH_PAUSE  # it answers again
+            return found
+
+    async def test() -> None:
+        one, other = await pauses("1"), await pauses("2")
+        for found in (one, other):
+            assert WATCH_PAUSE / 2 <= found[0] < found[2]
+            assert max(found) <= WATCH_PAUSE_MOST
+        assert not set(one) & set(other)
+
+    run(test())
 
 
 @pytest.mark.parametrize("how", ["503", "end", "garbage", "refused", "silence"])
