Take changes of the list however they are laid out, and open a dead watch anew in time

Lists may come indented. The watch split its bytes at newlines and took each line for an object, so an indented list was a "bad line", and so was the whole list asked for in its place: the node would have kept its old list for good. An object now ends with its last brace (discovery.py, on_body).

Any byte counted as news: half an object with empty lines behind it was waited for for ever. Only whole lines count now, and each watch has a clock for its first answer (the agent "replies at once"), for its first line and for each further one.

What the agent gets meanwhile counts as told at once, with 0.5 s of grace: a drain in that gap was out of reach. Pauses now end at half of the grace that the settings name, growing from 0.03 s. Ruled out: that an old watch goes on after the return (none did).

The test on the clocks was one on constants that are gone; the new one adds the second dead watch and SIGHUP. Seen to fail before: the indented lists (3 sizes of piece) and the half object.

--- a/driftstair/config.py
+++ b/driftstair/config.py
@@ -35,6 +35,7 @@
     dial_timeout: int  # ns
     idle_close: int  # ns
     open_cap: int  # requests that the node may hold
+    drain_grace: int  # ns in which sends to a server that is told to leave must end
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -84,6 +85,7 @@
         dial_timeout=values.whole("Limits.DialTimeout", least=1),
         idle_close=values.whole("Limits.IdleClose", least=1),
         open_cap=values.whole("Limits.OpenCap", least=1),
+        drain_grace=values.whole("Contract.StopSendingWithin"),
     )
 
 
--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -6,6 +6,7 @@
 import ipaddress
 import json
 import logging
+import re
 from collections.abc import Callable
 from math import inf
 from typing import Any, NamedTuple, cast
@@ -16,8 +17,11 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE = 3.0  # s without a byte: an open watch brings one at least every 2 s
-LINE_MOST = 4 << 20  # bytes of one change
+ANSWER = 0.5  # s until a new watch must be answered: the agent is on this machine and replies at once
+FIRST = 2.5  # s until its first line, an empty one at the least
+SILENCE = 3.0  # s until each further line: an empty one comes every 2 s
+OBJECT_MOST = 4 << 20  # bytes of one change
+MARK = re.compile(rb'"(?:[^"\\]|\\.)*"|["{}]', re.DOTALL)  # a whole string, the start of one, a brace
 
 STATES = {
     "Ready": ServerState.READY,
@@ -101,13 +105,11 @@
         self,
         address: tuple[str, int],
         version: int,
-        dial_timeout: float,
         on_list: Callable[[HostList], None],
         on_failed: Callable[[], None],
     ) -> None:
         self._address = address
         self._version = version
-        self._dial_timeout = dial_timeout
         self._on_list = on_list
         self._on_failed = on_failed
         self._watch: _Watch | None = None
@@ -145,25 +147,24 @@
     async def _open(self, watch: _Watch) -> None:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._dial_timeout):
-                await loop.create_connection(lambda: watch, *self._address)
-        except (OSError, TimeoutError) as problem:
+            await loop.create_connection(lambda: watch, *self._address)
+        except OSError as problem:
             self.failed(watch, f"no connection: {problem!r}")
 
     def is_current(self, watch: _Watch) -> bool:
         return watch is self._watch
 
-    def received(self, watch: _Watch, line: bytes) -> None:
-        if watch is not self._watch or not line.strip():
+    def received(self, watch: _Watch, text: bytes) -> None:
+        if watch is not self._watch:
             return
         try:
-            update = parse_list(json.loads(line))
+            update = parse_list(json.loads(text))
             # Changes build on the list that is held; one from before it would undo what was told since.
             if not update.full and update.version < self._version:
                 raise ListError(f"version {update.version} comes after {self._version}")
         except (ValueError, RecursionError, ListError) as problem:
             self._version = 0  # what was skipped is unknown: the next watch starts from the whole list
-            self.failed(watch, f"bad line: {problem}")
+            self.failed(watch, f"bad change: {problem}")
             return
         self._version = update.version
         self._on_list(update)
@@ -172,23 +173,24 @@
         """The watch has ended; a second report of the same one is passed over."""
         if watch is not self._watch:
             return
-        self._watch = None
-        watch.close()
+        self.close()
         log.warning("watch ended: %s", why)
         self._on_failed()
 
 
 class _Watch(asyncio.Protocol):
-    """The connection of one watch: bytes to lines."""
+    """The connection of one watch: bytes to objects."""
 
     def __init__(self, owner: Discovery) -> None:
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._rest = bytearray()
-        loop = asyncio.get_running_loop()
-        self._heard = loop.time()
-        self._timer = loop.call_later(SILENCE, self._check)
+        self._rest = b""
+        self._seen = 0  # bytes of it that hold no further mark
+        self._depth = 0  # braces open there
+        self._loop = asyncio.get_running_loop()
+        self._begun = self._loop.time()
+        self._timer = self._loop.call_at(self._begun + ANSWER, self._fail, "no answer")
 
     def close(self) -> None:
         self._timer.cancel()
@@ -199,14 +201,12 @@
         self._owner.failed(self, why)
         self.close()
 
-    def _check(self) -> None:
-        """Silence means that the connection is dead, though nothing may ever say so."""
-        loop = asyncio.get_running_loop()
-        left = self._heard + SILENCE - loop.time()
-        if left <= 0:
-            self._fail("silence")
-        else:
-            self._timer = loop.call_later(left, self._check)
+    def _wait(self, until: float) -> None:
+        """Silence means that the connection is dead, though nothing may ever say so. Bytes that make no
+        line are silence too."""
+        self._timer.cancel()
+        if self._owner.is_current(self):
+            self._timer = self._loop.call_at(until, self._fail, "silence")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
@@ -216,7 +216,6 @@
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        self._heard = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
@@ -230,16 +229,37 @@
 
     def on_headers_complete(self) -> None:
         status = self._parser.get_status_code()
-        if status != 200:
+        if status == 200:
+            self._wait(self._begun + FIRST)
+        elif status >= 200:
             self._fail(f"status {status}")
 
     def on_body(self, data: bytes) -> None:
+        """An object ends with its last brace: it may come indented, and cut anywhere."""
         self._rest += data
-        *lines, self._rest = self._rest.split(b"\n")
-        for line in lines:
-            self._owner.received(self, bytes(line))
-        if len(self._rest) > LINE_MOST:
-            self._fail("a line without end")
+        begin = 0
+        for mark in MARK.finditer(self._rest, self._seen):
+            if mark[0] == b'"':
+                break  # its string goes on with the next bytes
+            self._seen = mark.end()
+            if mark[0] == b"{":
+                self._depth += 1
+            elif mark[0] == b"}":
+                self._depth -= 1
+                if self._depth <= 0:
+                    self._depth = 0
+                    self._owner.received(self, self._rest[begin : self._seen])
+                    begin = self._seen
+        self._rest = self._rest[begin:]
+        self._seen -= begin
+        if not self._depth:
+            if rest := self._rest.strip():
+                self._owner.received(self, rest)  # it can't become an object
+            self._rest, self._seen = b"", 0
+        if begin or not self._depth:
+            self._wait(self._loop.time() + SILENCE)
+        if len(self._rest) > OBJECT_MOST:
+            self._fail("an object without end")
 
     def on_message_complete(self) -> None:
         self._fail("answer ended")
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -27,9 +27,9 @@
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
 BEAT = 20 * MS  # the loop's own pulse, and how far it may come late before the process counts as held up
 REPORT_MOST = 1024  # bytes of a load report
-WATCH_PAUSE = 0.5  # s, where lists are pushed: from the end of a watch to the next; doubles each time
-WATCH_PAUSE_MOST = 1.5  # s; silence takes 3 s to notice, and news count as told after 6
-WATCH_DOUBLINGS = 4  # of that pause, at most
+WATCH_PAUSE = 0.03  # s, where lists are pushed: from the end of a watch to the next; doubles each time
+WATCH_DOUBLINGS = 5  # of that pause, at most
+WATCH_PAUSE_PART = 0.5  # of the grace after a drain, at most: what the agent gets meanwhile counts as told
 
 
 def digest(text: str | bytes) -> bytes:
@@ -95,9 +95,8 @@
         self._beat_due = monotonic_ns()
         self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
         self._discovery = Discovery(
-            config.discovery, config.known.version, max(1.0, config.dial_timeout / 1e9),
-            self._list_came, self._watch_failed,
-        )  # fmt: skip
+            config.discovery, config.known.version, self._list_came, self._watch_failed
+        )
 
     # Start and stop.
 
@@ -340,9 +339,10 @@
 
     def _watch_pause(self) -> float:
         """Grows and differs from node to node: all lose their watches at once, and would ask together."""
-        pause = WATCH_PAUSE * (1 << min(self._failed_watches, WATCH_DOUBLINGS))
+        most = max(WATCH_PAUSE, WATCH_PAUSE_PART * self._config.drain_grace / 1e9)
+        pause = min(most, WATCH_PAUSE * (1 << min(self._failed_watches, WATCH_DOUBLINGS)))
         self._failed_watches += 1
-        return min(WATCH_PAUSE_MOST, pause) * self._random.uniform(0.5, 1.0)
+        return pause * self._random.uniform(0.5, 1.0)
 
     def _follow(self, kind: ListKind, hosts: tuple[Host, ...]) -> None:
         servers = tuple(self._server(host) for host in hosts)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -154,6 +154,9 @@
         self.targets.append(message.first)
         await reader.read()
 
+    def push_raw(self, data: bytes) -> None:
+        self._writers[-1].write(data)
+
     def push_bytes(self, data: bytes) -> None:
         self._writers[-1].write(b"%x\r\n%s\r\n" % (len(data), data))
 
@@ -175,7 +178,7 @@
 
 
 SETTINGS: dict[str, Any] = {
-    "Contract": {"AskWithin": 10**10, "Cold": 10**9, "ColdShare": 0.5},
+    "Contract": {"AskWithin": 10**10, "Cold": 10**9, "ColdShare": 0.5, "StopSendingWithin": 5 * 10**8},
     "Feedback": {"Fields": ["load_share", "depth"], "How": "answers"},
     "Grades": [grade("page", "repeatable"), grade("order", "once")],
     "Kinds": ["box"], "Zones": ["room"], "Tenants": [], "MembershipMode": "on_request",
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 
 from driftstair.net import discovery
 from driftstair.net.discovery import parse_address
-from driftstair.net.node import WATCH_PAUSE, WATCH_PAUSE_MOST, digest
+from driftstair.net.node import WATCH_DOUBLINGS, WATCH_PAUSE, WATCH_PAUSE_PART, digest
 from lichenspring import interface as api
 from lichenspring.interface import ListKind, ServerState
 
@@ -61,6 +61,80 @@
     run(test())
 
 
+def text(version: int, *servers: Server, indent: int | None = None) -> bytes:
+    entries = [server.entry() for server in servers]
+    return json.dumps({"version": version, "full": True, "servers": entries}, indent=indent).encode()
+
+
+@pytest.mark.parametrize("size", [1, 7, 4096])
+def test_objects_may_come_indented_and_cut_anywhere_and_several_at_once(size: int) -> None:
+    """Each line was taken for a whole object: an indented list ended its watch, and each one after it."""
+
+    async def test() -> None:
+        async with (
+            Discovery() as source, Server('s-"{') as one, Server("s-\\") as two,
+            Rig(configuration(discovery=source.address)) as rig,
+        ):
+            rig.watch()
+            await until(lambda: source.targets)
+            data = b"\n%s\n\n%s%s\n" % (text(8, one, indent=2), text(9, two), text(10, one, two, indent=1))
+            for begin in range(0, len(data), size):
+                source.push_bytes(data[begin : begin + size])
+            await until(lambda: len(rig.spy.lists(ListKind.FULL)) == 3)
+            assert [len(told.servers) for told in rig.spy.lists(ListKind.FULL)] == [1, 1, 2]
+            assert rig.node._ready == {digest('s-"{'), digest("s-\\")}
+            assert not rig.spy.lists(ListKind.FAILED) and len(source.targets) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["silent", "headers", "cut", "bytes"])
+def test_a_watch_that_brings_no_whole_line_is_opened_anew(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Any byte counted as news: half an object with empty lines behind it would have been waited for for
+    ever, and an agent that took the watch and said nothing for 3 s."""
+    for name in ("ANSWER", "FIRST", "SILENCE"):
+        monkeypatch.setattr(discovery, name, 0.3)
+    monkeypatch.setattr(discovery, "ANSWER" if how == "silent" else "FIRST", 0.1)
+
+    async def test() -> None:
+        async with Discovery() as source, Server("s-1") as server:
+            whole = source.reply
+            if how == "silent":
+                source.reply = b""
+            elif how == "bytes":
+                source.reply = b"HTTP/1.1 100 Continue\r\n\r\n" * 3
+            document = configuration(discovery=source.address)
+            document["settings"]["MembershipMode"] = "pushed"
+            async with Rig(document) as rig:
+                await until(lambda: source.targets)
+                source.reply = whole
+                if how == "cut":
+                    source.push_bytes(b'{"version":8,"full":true,"servers":[\n')
+                    while len(source.targets) == 1:
+                        source.push_bytes(b"\n")
+                        await asyncio.sleep(0.01)
+                await until(lambda: len(source.targets) == 2)
+                source.push(9, server, full=True)
+                await until(lambda: rig.node.can_serve())
+
+    run(test())
+
+
+def test_a_watch_that_brings_lines_in_time_stands(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 1.0)
+
+    async def test() -> None:
+        async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
+            rig.watch()
+            await until(lambda: source.targets)
+            for _ in range(60):
+                source.push_bytes(b"\n")
+                await asyncio.sleep(0.03)
+            assert not rig.spy.lists(ListKind.FAILED) and len(source.targets) == 1
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     "line",
     [
@@ -116,11 +190,15 @@
 
 def test_a_watch_that_fell_silent_is_replaced_before_its_news_count_as_told() -> None:
     """A dead watch was kept for 7 s. After 6 s a drain counts as told, heard or not, and what is sent to that
-    server half a second later breaks a rule."""
-    counts_as_told = 6.0
-    dial = 1.0  # at most, on this machine's own agent
-    assert discovery.SILENCE > 2.0  # an empty line comes as often
-    assert discovery.SILENCE + WATCH_PAUSE_MOST + dial < counts_as_told
+    server half a second later breaks a rule. The one opened in its place may be dead too."""
+    counts_as_told, after_sighup, grace = 6.0, 4.0, 0.5
+    pause = WATCH_PAUSE_PART * grace
+    assert pause <= WATCH_PAUSE * 2**WATCH_DOUBLINGS
+    assert min(discovery.SILENCE, discovery.FIRST) > 2.0  # an empty line comes as often
+    again = WATCH_PAUSE + discovery.FIRST + 2 * WATCH_PAUSE
+    assert discovery.SILENCE + again < counts_as_told
+    assert discovery.FIRST + pause + discovery.ANSWER < after_sighup
+    assert pause < grace  # an agent that comes back tells at once what it has
 
 
 def test_a_discovery_that_fails_is_asked_with_growing_pauses_that_differ_from_node_to_node() -> None:
@@ -129,7 +207,9 @@
     async def pauses(seed: str) -> list[float]:
         document = configuration() | {"seed": seed}
         async with Discovery() as source, Rig(document | {"discovery": source.address}) as rig:
+            longest = WATCH_PAUSE_PART * rig.config.drain_grace / 1e9
             found = [rig.node._watch_pause() for _ in range(2000)]
+            assert longest * 0.9 < max(found) <= longest
             rig.watch()
             await until(lambda: source.targets)
             source.push(9, full=True)
@@ -140,8 +220,7 @@
     async def test() -> None:
         one, other = await pauses("1"), await pauses("2")
         for found in (one, other):
-            assert WATCH_PAUSE / 2 <= found[0] < found[2]
-            assert max(found) <= WATCH_PAUSE_MOST
+            assert WATCH_PAUSE / 2 <= found[0] < found[2] < found[4]
         assert not set(one) & set(other)
 
     run(test())
@@ -150,7 +229,7 @@
 @pytest.mark.parametrize("how", ["503", "end", "garbage", "refused", "silence"])
 def test_a_watch_that_ends_is_told_once(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
     if how == "silence":
-        monkeypatch.setattr(discovery, "SILENCE", 0.05)
+        monkeypatch.setattr(discovery, "FIRST", 0.05)
 
     async def test() -> None:
         async with Discovery() as source:
