Take no clients before the agent has told a new process what it holds

What the agent holds counts as told from a process's first moment. The node listened first and served from the list in its configuration, which may be out of date, until its watch was answered; the first requests could go to servers that had drained before.

The test holds the agent's answer back, sees connections refused, and the first request served by the server that only the agent names. Before the mend the node listened with the answer outstanding.

--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -62,12 +62,13 @@
     node, front = assemble(config)
     # Guards against the default, which ends the process and all that it holds.
     loop.add_signal_handler(signal.SIGHUP, follow_file, node)
+    node.start()
+    await node.is_told()
     try:
         address = front.listen()
     except OSError as problem:
         print(f"driftstair: BALANCER_LISTEN can't be used: {problem.strerror}", file=sys.stderr)
         return 2
-    node.start()
     # What has been made by now stays; the collector need not look at it again.
     gc.collect()
     gc.freeze()
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -97,6 +97,7 @@
         self._discovery = Discovery(
             config.discovery, config.known.version, self._list_came, self._watch_failed
         )
+        self._told = asyncio.Event()
 
     # Start and stop.
 
@@ -108,6 +109,13 @@
         self._follow(ListKind.CACHED, self._config.known.hosts)
         if self._config.settings.list_mode is ListMode.PUSHED:
             self._discovery.watch()
+        else:
+            self._told.set()
+
+    async def is_told(self) -> None:
+        """Until the agent has said what it knows, or has failed to: what it holds counts as told from the
+        process's first moment, and what the configuration tells may be older."""
+        await self._told.wait()
 
     def reload(self, config: Config) -> None:
         """A new configuration: the watch moves to the address that it names. List and requests stay."""
@@ -329,9 +337,11 @@
 
     def _list_came(self, update: HostList) -> None:
         self._failed_watches = 0
+        self._told.set()
         self._follow(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
 
     def _watch_failed(self) -> None:
+        self._told.set()
         if self._config.settings.list_mode is ListMode.PUSHED:
             self._loop.call_later(self._watch_pause(), self._discovery.watch)
         else:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,6 +8,7 @@
 import resource
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tomllib
@@ -41,6 +42,11 @@
 
 # The program, but with time enough after SIGTERM that a slow machine gives the same verdict.
 SLOWER = "import sys, driftstair.__main__ as program; program.SERVE_ON = 2.0; sys.exit(program.main())"
+# The program, but an agent that takes its time is waited for.
+PATIENT = (
+    "import sys, driftstair.__main__ as program, driftstair.net.discovery as discovery;"
+    "discovery.ANSWER = 60.0; sys.exit(program.main())"
+)
 
 
 async def start(
@@ -316,3 +322,49 @@
         assert (process.returncode, stderr.count(b"\n"), b"BALANCER_CONFIG" in stderr) == (2, 1, True)
 
     run(test())
+
+
+def test_a_new_process_takes_no_clients_before_the_agent_has_told_what_it_holds(tmp_path: Path) -> None:
+    """It served from the list in its configuration: what the agent held by then counts as told from the
+    process's first moment, and the first requests went to servers that had drained before."""
+
+    async def test() -> None:
+        async with Discovery() as source, Server("s-1") as gone, Server("s-2") as later:
+            reply, source.reply = source.reply, b""
+            with socket.socket() as free:
+                free.bind(("127.0.0.1", 0))
+                host, port = free.getsockname()
+            document = configuration(gone, discovery=source.address) | {"listen": f"{host}:{port}"}
+            document["settings"]["MembershipMode"] = "pushed"
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(document))
+            process = await start(path, code=PATIENT)
+            try:
+                await until(lambda: source.targets)
+                with pytest.raises(OSError):
+                    await asyncio.open_connection(host, port)
+                source.push_raw(reply)
+                source.push(9, later, full=True)
+                assert process.stderr is not None
+                assert b"serving on" in await asyncio.wait_for(process.stderr.readline(), PATIENCE)
+                client = Client(*await asyncio.open_connection(host, port))
+                assert status(await client.ask(request())) == 200
+                assert (len(gone.seen), len(later.seen)) == (0, 1)
+            finally:
+                process.kill()
+                await process.wait()
+
+    run(test())
+
+
+def test_a_new_process_serves_from_what_it_knew_where_the_agent_is_silent(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Discovery() as source, Server("s-1") as server:
+            source.reply = b""
+            document = configuration(server, discovery=source.address)
+            document["settings"]["MembershipMode"] = "pushed"
+            async with program(document, tmp_path) as node:
+                assert source.targets
+                assert status(await (await node.client()).ask(request())) == 200
+
+    run(test())
