Count a dial out that is cancelled in the very turn in which it comes up

The loop calls connection_made, and wakes the dialing task a moment later. An attempt that ends in between (its server is retired, its client leaves, its time is up) cancels the task; uvloop then closes the transport and tells nobody, so the connection stayed counted in Pools.sockets for good. Once that count is at its limit every dial is "not sent" (upstream.py, _connect and room).

Found by reading, and forced by a test: the attempt is ended from within connection_made, by a retire and by a client that leaves. Before the mend one socket stays counted in each; nothing is sent on in either. Ruled out: that the descriptor leaks too (the server sees its end in both).

--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -69,11 +69,13 @@
             self._dial = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
+        connection = Connection(self.pool)
         self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
         try:
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: Connection(self.pool), *self.pool.address
-            )
+            await asyncio.get_running_loop().create_connection(lambda: connection, *self.pool.address)
+        except asyncio.CancelledError:
+            connection.lost_unseen()
+            raise
         except OSError as problem:
             self._dial = None
             local = problem.errno in (errno.EMFILE, errno.ENFILE)
@@ -239,6 +241,11 @@
         self._break()
         self._parser = None  # the two hold each other, and would stay until the collector comes
 
+    def lost_unseen(self) -> None:
+        """A dial that is cancelled just as it has come up is closed by the loop, which tells nobody."""
+        if self._transport is not None and not self.closed:
+            self.connection_lost(None)
+
     def _break(self, result: Result = Result.RESET) -> None:
         """The connection can't bring the answer any more. An answer that came spoilt is an error: a reset
         would tell of a connection that was lost, and of the others that they may be."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -235,3 +235,34 @@
                 gc.enable()
 
     run(test())
+
+
+@pytest.mark.parametrize("how", ["retired", "gone"])
+def test_a_dial_that_comes_up_as_its_attempt_ends_leaves_no_trace(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Cancelled between the two, the dial closed its connection unseen: it counted as open for good, until
+    the node had no room for a further one."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            made = upstream.Connection.connection_made
+
+            def ends(connection: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+                made(connection, transport)
+                if how == "gone":
+                    (number,) = rig.node._open
+                    rig.node.client_gone(number)
+                else:
+                    server.state = "Gone"
+                    rig.node._list_came(change(server))
+
+            monkeypatch.setattr(upstream.Connection, "connection_made", ends)
+            client.writer.write(request("order"))
+            await until(lambda: rig.spy.outcomes())
+            await until(lambda: server.connections and not server.open)
+            assert not server.seen
+            assert rig.node._pools.sockets == 0 and not rig.node._open
+
+    run(test())
