Close no client's connection with a request unread, and leave none in the queue at the end

Each now asks the kernel first (front.py, close_if_quiet). At the end the queue of the listening socket was given up, and reset, where the table was full at that moment (stop); it is taken in as places come free. What becomes a whole request after everyone has been told is refused at once; it was sent on and lost with the process (node.py, fail_all and take).

Found by reading. Forced over sockets, with the request written in the turn in which the front closes; nine of the ten tests fail before (a new connection is never thinned out). Ruled out: answers unflushed at the exit. The last ones are written to sockets whose earlier answers are out, as the timer of a slow reader ends its connection by its deadline, which is before the end.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -126,14 +126,18 @@
     def _evict(self) -> bool:
         """Close the connection that is worth least; a client whose request crosses that asks anew. Guards
         against those that connect by hundreds: first go the rejected ones, then those that never asked."""
+        for connection in self._lingering:
+            del self._lingering[connection]
+            connection.abort()
+            return True
         before = self._loop.time() - EVICT_AFTER
-        for table, latest in ((self._lingering, float("inf")), (self._new, before), (self._idle, before)):
+        for table in (self._new, self._idle):
             for connection, since in table.items():
-                if since > latest:
+                if since > before:
                     break
-                del table[connection]
-                connection.abort()
-                return True
+                if connection.close_if_quiet():
+                    del table[connection]
+                    return True
             if table is self._new and len(table) + len(self._tasks) > CROWD_PART * self._most:
                 break  # so many come at once that some will have stayed silent in a moment
         return False
@@ -150,7 +154,7 @@
             (self._lingering, LINGER, ClientConnection.abort),
             (self._new, NEW_MOST, ClientConnection.time_out),
             (self._reading, SLOW_REQUEST, ClientConnection.time_out),
-            (self._idle, IDLE_MOST, ClientConnection.close),
+            (self._idle, IDLE_MOST, ClientConnection.close_if_quiet),
         ):
             late = []
             for connection, since in table.items():
@@ -185,10 +189,9 @@
         before = self._loop.time() - IDLE_LEAST
         while len(self._idle) > IDLE_PART * self._most:
             first, since = next(iter(self._idle.items()))
-            if since > before:
+            if since > before or not first.close_if_quiet():
                 break
             del self._idle[first]
-            first.close()
 
     def reads(self, connection: ClientConnection) -> None:
         """A part of a request has come. A new connection's time goes on from when it connected."""
@@ -231,20 +234,37 @@
         await asyncio.sleep(serve_on)
         self.closing = True
         for _ in range(BACKLOG // ACCEPTS):
-            self._accept()  # what waits in the kernel's queue would be reset with the socket
+            self._accept()
+        while self._is_awaited() and self._loop.time() < end:  # for places: the table is full
+            self._close_unused()
+            await asyncio.sleep(DRAIN_LOOK)
+            self._accept()
         self._pause()
         if self._socket is not None:
             self._socket.close()
             self._socket = None
         await asyncio.gather(*self._tasks)
-        await asyncio.sleep(DRAIN_LOOK)  # what those just taken in have sent already is read first
-        for connection in [*self._new, *self._idle]:
-            connection.close_if_unused()
         while self._connections and self._loop.time() < end:
-            await asyncio.sleep(DRAIN_LOOK)
+            await asyncio.sleep(DRAIN_LOOK)  # first of all, what those just taken in have sent is read
+            self._close_unused()
         self.node.fail_all()
         await asyncio.sleep(DRAIN_LOOK)
 
+    def _is_awaited(self) -> bool:
+        """Clients wait in the kernel's queue: they would be reset with the socket."""
+        return self._socket is not None and _shows(self._socket.fileno(), select.POLLIN)
+
+    def _close_unused(self) -> None:
+        for connection in [*self._new, *self._idle]:
+            connection.close_if_unused()
+
+
+def _shows(descriptor: int, events: int) -> bool:
+    """Whether the kernel has one of them for a socket, or its reset."""
+    poll = select.poll()
+    poll.register(descriptor, events)
+    return bool(poll.poll(0))
+
 
 class ClientConnection(asyncio.Protocol):
     """One client's connection; its requests are served one after the other."""
@@ -315,11 +335,8 @@
         self._look = self._loop.call_later(END_LOOK, self._look_on)
 
     def _shows(self, events: int) -> bool:
-        """Whether the kernel has one of them for this connection, or its reset."""
         assert self._transport is not None
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), events)
-        return bool(poll.poll(0))
+        return _shows(self._transport.get_extra_info("socket").fileno(), events)
 
     def time_out(self) -> None:
         """The limit of the front: a client that has sent a part is told, one that has not is not."""
@@ -327,7 +344,7 @@
             self._reader.error = 408
             self._next()
         else:
-            self.close()
+            self.close_if_quiet()
 
     # Requests in turn.
 
@@ -463,6 +480,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def close_if_quiet(self) -> bool:
+        """Not while something lies unread with the kernel: it may be a whole request."""
+        if self._transport is not None and not self._transport.is_closing():
+            if self._shows(select.POLLIN):
+                return False
+            self._transport.close()
+        return True
+
     def close_if_unused(self) -> None:
         if not self._busy and not self._reader.ready and not self._reader.is_partial():
-            self.close()
+            self.close_if_quiet()
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -91,6 +91,7 @@
         self._open: dict[int, Open] = {}
         self._identities: set[bytes] = set()  # of the requests in _open
         self._last_number = 0
+        self._ending = False
         self._warned = False  # of load reports
         self._ready: set[api.ServerId] = set()
         self._random = Random(config.seed)
@@ -147,7 +148,8 @@
         return bool(self._ready)
 
     def fail_all(self) -> None:
-        """The process is about to end: whoever still waits is told."""
+        """The process is about to end: whoever still waits is told, and whoever comes now."""
+        self._ending = True
         for request in list(self._open.values()):
             self._overdue(request)
 
@@ -229,7 +231,7 @@
         elif call.identity in self._identities:
             # Guards against a stranger that sends another client's id: a server would take it for a copy.
             call.client.answer(409, [], b"")
-        elif len(self._open) >= self._config.open_cap:
+        elif self._ending or len(self._open) >= self._config.open_cap:
             call.client.answer(503, self.advice(), b"")
         else:
             self._open[request.number] = request
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 
 import pytest
@@ -539,3 +540,80 @@
             await until(lambda: rig.spy.events.count(api.Timer(failed[0])) > 1)
 
     run(test())
+
+
+@pytest.mark.parametrize("used", [False, True])
+@pytest.mark.parametrize("how", ["evict", "thin out", "sweep", "stop"])
+def test_no_connection_is_closed_with_a_request_unread(
+    how: str, used: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The front went by what it had read: a whole request that was with the kernel was reset unanswered."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            if used:
+                assert status(await client.ask(request())) == 200
+            await until(lambda: rig.front._connections)
+            for name in ("EVICT_AFTER", "NEW_MOST", "IDLE_MOST", "IDLE_PART", "IDLE_LEAST"):
+                monkeypatch.setattr(front, name, 0.0)
+            own = client.writer.get_extra_info("socket")
+            assert os.write(own.fileno(), request())  # from here on the loop has no turn to read it
+            if how == "evict":
+                rig.front._evict()
+            elif how == "thin out":
+                rig.front._thin_out()
+            elif how == "sweep":
+                rig.front._sweep()
+            else:
+                rig.front.closing = True
+                rig.front._close_unused()
+            assert status(await client.read()) == 200
+            assert len(server.seen) == 1 + used
+
+    run(test())
+
+
+def test_clients_in_the_queue_of_a_full_table_are_served_before_the_end() -> None:
+    """The queue was given up, and reset, where the table had no place at that moment."""
+    release = asyncio.Event()
+
+    async def waits(_: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Server("s-1", waits) as server, Rig(configuration(server)) as rig:
+            rig.front._most = 2
+            clients = [await rig.client() for _ in range(5)]
+            for client in clients:
+                client.writer.write(request("order"))
+            await until(lambda: len(server.seen) == 2)
+            stopping = asyncio.create_task(rig.front.stop(0.0, 15.0))
+            await until(lambda: rig.front.closing)
+            release.set()
+            assert [status(await client.read()) for client in clients] == [200] * 5
+            for client in clients:
+                client.writer.close()
+            await stopping
+
+    run(test())
+
+
+def test_what_becomes_a_request_at_the_very_end_is_answered_at_once() -> None:
+    """It was sent on, and lost with the process."""
+
+    async def test() -> None:
+        async with Server("s-1", silent) as server, Rig(configuration(server)) as rig:
+            waits, late = await rig.client(), await rig.client()
+            waits.writer.write(request("order"))
+            data = request(body=b"text")
+            late.writer.write(data[:-1])
+            await until(lambda: server.seen and rig.front._new)
+            rig.node.fail_all()
+            assert status(await waits.read()) == 504
+            got = await late.ask(data[-1:])
+            assert (status(got), got.headers["retry-after"]) == (503, "1.500")
+            assert len(server.seen) == 1
+
+    run(test())
