Ask anew for a whole list that is older than the one held, before it is believed

A change from before the held version ended the watch; a whole list from before it was taken, and brought drained servers back, though their drain had been told (discovery.py, received). Both end the watch now, and the next one asks for the whole list from the start, so an agent that counts anew is believed then.

Found by reading; the test pushes the older list on the standing watch and fails before. With it, tests that hold two crossings found sound: a reload while a watch is opened or the pause after it runs.

--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -159,8 +159,9 @@
             return
         try:
             update = parse_list(json.loads(text))
-            # Changes build on the list that is held; one from before it would undo what was told since.
-            if not update.full and update.version < self._version:
+            # One from before the list that is held, whole or not, would undo what was told since. An agent
+            # that counts anew is believed on the next watch, which asks for the whole list.
+            if update.version < self._version:
                 raise ListError(f"version {update.version} comes after {self._version}")
         except (ValueError, RecursionError, ListError) as problem:
             self._version = 0  # what was skipped is unknown: the next watch starts from the whole list
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -166,6 +166,51 @@
     run(test())
 
 
+def test_an_older_whole_list_is_asked_for_anew_before_it_is_believed() -> None:
+    """It brought a drained server back; an agent that counts anew tells the same when asked again."""
+
+    async def test() -> None:
+        async with (
+            Discovery() as source, Server("s-1") as one, Server("s-2") as two,
+            Rig(configuration(one, two, discovery=source.address)) as rig,
+        ):
+            rig.watch()
+            await until(lambda: source.targets)
+            source.push(9, one, full=True)
+            source.push(8, one, two, full=True)
+            await until(lambda: rig.spy.lists(ListKind.FAILED))
+            assert rig.node._ready == {digest("s-1")}
+            rig.watch()
+            await until(lambda: len(source.targets) == 2)
+            assert source.targets[1] == "GET /discovery/hosts?watch=1&from=0 HTTP/1.1"
+            source.push(3, two, full=True)
+            await until(lambda: rig.node._ready == {digest("s-2")})
+
+    run(test())
+
+
+@pytest.mark.parametrize("moves", [False, True])
+def test_a_reload_while_a_watch_is_opened_or_a_pause_runs_watches_the_new_address_once(moves: bool) -> None:
+    async def test() -> None:
+        async with Discovery() as old, Discovery() as new, Server("s-1") as server:
+            old.reply = b""  # it stays silent
+            document = configuration(discovery=old.address if moves else "127.0.0.1:1")
+            document["settings"]["MembershipMode"] = "pushed"
+            async with Rig(document) as rig:
+                # Both are under way: the dial of the first watch, or the pause after it was refused.
+                await until(lambda: old.targets if moves else rig.node._failed_watches)
+                rig.node.reload(replace(rig.config, discovery=parse_address(new.address)))
+                await until(lambda: new.targets)
+                new.push(2, server, full=True)
+                await until(rig.node.can_serve)
+                for _ in range(10):  # longer than any pause
+                    await asyncio.sleep(0.03)
+                    new.push_bytes(b"\n")
+                assert (len(old.targets), len(new.targets)) == (int(moves), 1)
+
+    run(test())
+
+
 @pytest.mark.parametrize("weight", ["Infinity", "NaN", "-3", "0", "1e999"])
 def test_a_weight_that_is_none_is_as_any_other(weight: str) -> None:
     """One without end hung the node: no other server could take a place in the table."""
