Tests of crossings found sound: half-written requests, an id that comes again, more signals

A time-out, a reset and a client that leaves each end an attempt whose request is partly with the node: the server reads all that there is and never gets the last byte. An id whose connection is lost comes again in the same turn of the loop and is served, since the reset is seen before the new connection is read. A second SIGTERM and a SIGHUP while the node ends change nothing but the watch, and half a request is finished.

--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -542,6 +542,26 @@
     run(test())
 
 
+@pytest.mark.parametrize("kind", ["page", "order"])
+def test_an_id_may_come_again_on_a_new_connection_once_the_old_one_is_lost(kind: str) -> None:
+    """Both are seen in one turn of the loop, with the attempt out: the id is free by then."""
+
+    async def test() -> None:
+        async with Server("s-1", silent) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request(kind, X_Request_Id="mine"))
+            await until(lambda: server.seen)
+            server.script = says(answer())
+            with socket.create_connection(rig.address) as again:  # no turn of the loop from here on
+                client.leave("reset")
+                again.sendall(request(kind, X_Request_Id="mine"))
+                again.setblocking(False)
+                loop = asyncio.get_running_loop()
+                assert (await loop.sock_recv(again, 4096)).startswith(b"HTTP/1.1 200 ")
+
+    run(test())
+
+
 @pytest.mark.parametrize("used", [False, True])
 @pytest.mark.parametrize("how", ["evict", "thin out", "sweep", "stop"])
 def test_no_connection_is_closed_with_a_request_unread(
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -378,10 +378,12 @@
     run(test())
 
 
-def test_a_connection_that_breaks_before_the_last_byte_is_written_never_ran(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize("how", ["reset", "time-out", "gone"])
+def test_an_attempt_that_ends_before_the_last_byte_is_written_never_ran_nor_will(
+    how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """The server takes nothing in: the request stays partly in the node, which then sees a reset."""
+    """The server takes nothing in: the request stays partly in the node, as its attempt ends. What was with
+    the node is not written after that, though the server then reads all that there is."""
     made = upstream.Connection.connection_made
 
     def with_small_buffer(self: upstream.Connection, transport: asyncio.BaseTransport) -> None:
@@ -399,13 +401,28 @@
         async with Rig(configuration(server)) as rig:
             loop = asyncio.get_running_loop()
             client = await rig.client()
-            client.writer.write(request("order", body=b"x" * 65536))
+            late = {"X_Deadline": "300m"} if how == "time-out" else {}
+            sent = request("order", body=b"x" * 65536, **late)
+            client.writer.write(sent)
             accepted, _ = await asyncio.wait_for(loop.sock_accept(listening), PATIENCE)
             await until(lambda: any(one.out[0]._connection for one in rig.node._open.values() if one.out))
-            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
-            accepted.close()
-            assert status(await client.read()) == 503
-            assert [outcome.result for outcome in rig.spy.outcomes()] == [Result.CONNECT_FAILED]
+            if how == "reset":
+                accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+                accepted.close()
+            elif how == "gone":
+                client.leave("reset")
+            if how != "gone":
+                assert status(await client.read()) == 503
+            await until(lambda: not rig.node._open)
+            (outcome,) = rig.spy.outcomes()
+            assert outcome.result is (Result.CANCELLED if how == "gone" else Result.CONNECT_FAILED)
+            if how != "reset":
+                accepted.setblocking(False)
+                taken = 0
+                while piece := await asyncio.wait_for(loop.sock_recv(accepted, 1 << 16), PATIENCE):
+                    taken += len(piece)
+                assert 0 < taken < len(sent)
+                accepted.close()
         listening.close()
 
     run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -141,6 +141,38 @@
     run(test())
 
 
+def test_further_signals_while_it_ends_change_nothing_but_the_watch(tmp_path: Path) -> None:
+    release = asyncio.Event()
+
+    async def waits(message: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer(body=message.body))
+
+    async def test() -> None:
+        async with Server("s-1", waits) as server, Discovery() as old, Discovery() as new:
+            document = configuration(server, discovery=old.address)
+            async with program(document, tmp_path) as node:
+                client, half = await node.client(), await node.client()
+                data = request(body=b"half")
+                half.writer.write(data[:-1])
+                client.writer.write(request(body=b"held"))
+                await until(lambda: server.seen)
+                for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+                    node.process.send_signal(number)
+                (tmp_path / "config.json").write_text(json.dumps(document | {"discovery": new.address}))
+                node.process.send_signal(signal.SIGHUP)
+                await until(lambda: new.targets)
+                half.writer.write(data[-1:])
+                await until(lambda: len(server.seen) == 2)
+                release.set()
+                assert [(await one.read()).body for one in (client, half)] == [b"held", b"half"]
+                for one in (client, half):
+                    one.writer.close()
+                assert await asyncio.wait_for(node.process.wait(), PATIENCE) == 0
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("aim_ms", "deadline_ms", "late", "serve_on"),
     [(1000, 5000, 0.0, 2.4), (1000, 5000, 0.5, SERVE_ON), (9000, 9000, 0.0, SERVE_ON), (400, 1000, 0.0, 1.0)],
