Give up for a leaving client also what is not written to its last byte

A request that a server took in slowly was written on after its client had left. It has not run before its last byte, so it ends there and its client, if it still reads, is refused at once (upstream.py, give_up_unwritten). Forced with small buffers on both sides; before the mend the server got it whole.

--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -257,13 +257,13 @@
 
     def client_ends(self, number: int) -> None:
         """It sends no more, which is all that shows of one that closes its connection. What is out is waited
-        for, but not a dial."""
+        for; a dial, or what is not written to its last byte, is given up."""
         request = self._open.get(number)
         if request is None or request.answered:
             return
         self._tell(api.ClientGone(number, reads=True))
         for attempt in list(request.out.values()):
-            attempt.give_up_dial()
+            attempt.give_up_unwritten()
 
     def _overdue(self, request: Open, status: int = 504) -> None:
         """Guards against a request that nobody answers, whatever the reason."""
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -124,11 +124,13 @@
             self._give_up()
 
     def _give_up(self) -> None:
-        written = self._connection is not None and self._connection.written
-        self.end(Result.TIMEOUT if written else Result.CONNECT_FAILED)
+        self.end(Result.TIMEOUT if self._is_written() else Result.CONNECT_FAILED)
 
-    def give_up_dial(self) -> None:
-        if self._dial is not None:
+    def _is_written(self) -> bool:
+        return self._connection is not None and self._connection.written
+
+    def give_up_unwritten(self) -> None:
+        if not self._is_written():
             self.end(Result.NOT_SENT)
 
     def cancel(self) -> None:
