Tests of crossings found sound: drains, deadlines, late dials, endless answers, hung servers

A drain told in the instant of a request, between two attempts and while a request waits for its turn; a server that returns at its address; a dial that comes up and an answer that comes as the time is over; an answer without end; a server that hangs at SIGTERM, with short and long deadlines. A configuration without the grace after a drain is refused by name.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -266,3 +266,87 @@
             assert rig.node._pools.sockets == 0 and not rig.node._open
 
     run(test())
+
+
+def drains(rig: Rig, *servers: Server) -> None:
+    for server in servers:
+        server.state = "Terminating"
+    rig.node._list_came(change(*servers))
+
+
+def test_a_drain_that_is_told_in_the_instant_of_a_request_is_kept() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request())) == 200  # an idle connection stands
+            assert os.write(client.writer.get_extra_info("socket").fileno(), request())
+            drains(rig, server)  # no turn of the loop since then
+            assert status(await client.read()) == 503
+            assert len(server.seen) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("kind", ["page", "order"])
+def test_a_drain_between_two_attempts_is_kept(kind: str) -> None:
+    release = asyncio.Event()
+
+    async def turns_away(_: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer(503, X_Not_Run="1"))
+
+    async def test() -> None:
+        async with (
+            Server("s-1", turns_away) as one, Server("s-2", turns_away) as two,
+            Rig(configuration(one, two)) as rig,
+        ):
+            client = await rig.client()
+            client.writer.write(request(kind))
+            await until(lambda: one.seen or two.seen)
+            drains(rig, one, two)
+            release.set()
+            assert status(await client.read()) == 503
+            assert len(one.seen) + len(two.seen) == 1
+
+    run(test())
+
+
+def test_a_drain_is_kept_for_what_waits_for_its_turn() -> None:
+    release = asyncio.Event()
+
+    async def waits(_: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Server("s-1", waits) as server:
+            document = configuration(server)
+            document["settings"]["Grades"][1] |= {"Aim": 10**8, "LateShare": 0.5, "OneAtATime": True}
+            async with Rig(document) as rig:
+                first, second = await rig.client(), await rig.client()
+                first.writer.write(request("order", X_Key="7f3a"))
+                await until(lambda: server.seen)
+                second.writer.write(request("order", X_Key="7f3a"))
+                await until(lambda: len(rig.node._open) == 2)
+                drains(rig, server)
+                release.set()
+                assert [status(await one.read()) for one in (first, second)] == [200, 503]
+                assert len(server.seen) == 1
+
+    run(test())
+
+
+def test_a_server_that_comes_back_at_its_address_gets_new_connections_only() -> None:
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request())) == 200
+            server.state = "Gone"
+            rig.node._list_came(change(server))
+            server.state = "Ready"
+            rig.node._list_came(change(server))
+            assert status(await client.ask(request())) == 200
+            assert server.connections == 2
+            await until(lambda: server.open == 1)
+
+    run(test())
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -427,3 +427,63 @@
         listening.close()
 
     run(test())
+
+
+def test_an_answer_without_end_is_a_time_out() -> None:
+    async def drips(_: Message, writer: asyncio.StreamWriter) -> None:
+        writer.write(CHUNKED)
+        while not writer.is_closing():
+            writer.write(b"1\r\nx\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.005)
+
+    async def test() -> None:
+        async with Server("s-1", drips) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.ask(request("order", X_Deadline="300m"))) == 504
+            assert [one.result for one in rig.spy.outcomes()] == [Result.TIMEOUT]
+            await until(lambda: not server.open and not rig.node._pools.sockets)
+
+    run(test())
+
+
+def test_a_dial_that_comes_up_as_its_time_is_over_carries_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    made = upstream.Connection.connection_made
+
+    def late(self: upstream.Connection, transport: asyncio.BaseTransport) -> None:
+        made(self, transport)
+        (attempt,) = self._pool.dialing
+        attempt.expires = 0
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            monkeypatch.setattr(upstream.Connection, "connection_made", late)
+            client = await rig.client()
+            assert status(await client.ask(request("order"))) == 503
+            assert [one.result for one in rig.spy.outcomes()] == [Result.CONNECT_FAILED]
+            assert not server.seen and not rig.node._open
+
+    run(test())
+
+
+def test_an_answer_that_comes_as_the_deadline_falls_is_no_second_one() -> None:
+    writers: list[asyncio.StreamWriter] = []
+
+    async def keeps(message: Message, writer: asyncio.StreamWriter) -> None:
+        writers.append(writer)
+        if message.body == b"next":
+            writer.write(answer(body=message.body))
+
+    async def test() -> None:
+        async with Server("s-1", keeps) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            client.writer.write(request(body=b"first"))
+            await until(lambda: server.seen)
+            (open_request,) = rig.node._open.values()
+            os.write(writers[0].get_extra_info("socket").fileno(), answer(body=b"first"))
+            rig.node._overdue(open_request)  # no turn of the loop since then
+            assert status(await client.read()) == 504
+            assert (await client.ask(request(body=b"next"))).body == b"next"
+            assert [one.result for one in rig.spy.outcomes()] == [Result.CANCELLED, Result.OK]
+
+    run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -30,6 +30,7 @@
     grade,
     request,
     run,
+    silent,
     status,
     until,
 )
@@ -173,6 +174,23 @@
     run(test())
 
 
+@pytest.mark.parametrize("deadline_ms", [500, 5000])
+def test_a_server_that_hangs_keeps_no_answer_back_at_the_end(deadline_ms: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with Server("s-1", silent) as server:
+            document = configuration(server)
+            document["settings"]["Grades"][1] = grade("order", "once", deadline_ms, deadline_ms)
+            async with program(document, tmp_path) as node:
+                client = await node.client()
+                client.writer.write(request("order"))
+                await until(lambda: server.seen)
+                node.process.send_signal(signal.SIGTERM)
+                assert status(await client.read()) in (502, 504)
+                assert await asyncio.wait_for(node.process.wait(), PATIENCE) == 0
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     ("aim_ms", "deadline_ms", "late", "serve_on"),
     [(1000, 5000, 0.0, 2.4), (1000, 5000, 0.5, SERVE_ON), (9000, 9000, 0.0, SERVE_ON), (400, 1000, 0.0, 1.0)],
@@ -320,6 +338,7 @@
         (_with("soon", "settings", "Limits", "DialTimeout"), "Limits.DialTimeout"),
         (_with(0, "settings", "PeersTotal"), "PeersTotal"),
         (_with(2.0, "settings", "Contract", "ColdShare"), "cold_share"),
+        (_without("settings", "Contract", "StopSendingWithin"), "StopSendingWithin"),
         (_with(None, "settings", "Zones"), "Zones"),
         (_with("203.0.113.9:1", "listen"), "BALANCER_LISTEN"),
     ],
