--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -637,3 +637,32 @@
             assert len(server.seen) == 1
 
     run(test())
+
+
+def test_an_answer_that_is_not_flushed_at_the_end_is_waited_for() -> None:
+    async def test() -> None:
+        large = says(answer(body=b"x" * 65536))
+        async with Server("s-1", large) as server, Rig(configuration(server)) as rig:
+            loop = asyncio.get_running_loop()
+            with socket.socket() as client:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+                client.setblocking(False)
+                await loop.sock_connect(client, rig.address)
+                await until(lambda: rig.front._connections)
+                (connection,) = rig.front._connections
+                assert connection._transport is not None
+                node_side = connection._transport.get_extra_info("socket")
+                node_side.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await loop.sock_sendall(client, request())
+                await until(lambda: connection._slow_reader is not None)  # a part is out, the rest is not
+                stopping = asyncio.create_task(rig.front.stop(0.0, 15.0))
+                await until(lambda: rig.front._socket is None)
+                got = b""
+                while piece := await loop.sock_recv(client, 1 << 16):
+                    got += piece
+                    if got.endswith(b"x" * 65536):
+                        break
+                assert got.endswith(b"x" * 65536)
+            await stopping
+
+    run(test())
