Ask the kernel about client and list before each write to a server

Seen: after a hold of the process (SIGSTOP for 0.15 or 0.3 s) requests of clients that had left went on to the server, and a server told to drain 0.7 s before got requests. Cause: the look for a client's end depended on the loop being late, on the request being older than 10 ms, or on the kernel's queue (Node.is_late, FRESH, Front._queued). After a hold the loop runs its late timers first, the heartbeat among them, so by the time the sockets were read nothing seemed late. Change: one guard, Node.permit, is asked before each dial and each write, first or further: the request is open, the server has not left, and the client has not, by a poll of its socket. What the guard is for is checked after each write, apart from it (net/invariants.py), and counted with all other reasons (telemetry.py). A connection that was taken and not used keeps its idle time, which began anew before.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -52,7 +52,6 @@
         self._socket: socket.socket | None = None
         self._accepting = False
         self._looks_again = False
-        self._queued = False  # clients have waited in the kernel's queue, and may have left since
         self._open = 0
         self._connections: set[ClientConnection] = set()
         # Since when; the first of each has been there longest. A connection is in one of them, or has a
@@ -80,7 +79,6 @@
     # table they wait in the kernel's queue, and a socket that stays readable costs nothing.
 
     def _pause(self) -> None:
-        self._queued = True
         if self._accepting and self._socket is not None:
             self._accepting = False
             self._loop.remove_reader(self._socket)
@@ -101,7 +99,6 @@
             try:
                 accepted, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError):
-                self._queued = False
                 return
             except OSError as problem:
                 if problem.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
@@ -112,15 +109,15 @@
                     return
                 continue  # that one client is gone already
             self._open += 1
-            task = self._loop.create_task(self._enter(accepted, self._queued))
+            task = self._loop.create_task(self._enter(accepted))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _enter(self, accepted: socket.socket, queued: bool) -> None:
+    async def _enter(self, accepted: socket.socket) -> None:
         try:
             accepted.setblocking(False)
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self._loop.connect_accepted_socket(lambda: ClientConnection(self, queued), accepted)
+            await self._loop.connect_accepted_socket(lambda: ClientConnection(self), accepted)
         except Exception as problem:
             log.warning("a client was lost as it came: %r", problem)
             accepted.close()
@@ -272,9 +269,9 @@
 class ClientConnection(asyncio.Protocol):
     """One client's connection; its requests are served one after the other."""
 
-    def __init__(self, front: Front, queued: bool) -> None:
+    def __init__(self, front: Front) -> None:
         self._front = front
-        self._queued = queued  # its first request may have lain unread for long
+        self._end_poll = select.poll()  # shows that the client sends no more, or has reset the connection
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._reader = Reader(front.config)
@@ -293,6 +290,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         transport.set_write_buffer_limits(high=0)  # to be told when an answer's last byte is out
+        self._end_poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         self._front.came(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -323,12 +321,14 @@
         waits = self._busy or bool(self._reader.ready) or self._reader.has_unread()
         return waits and not self._ends
 
-    def look_for_end(self) -> None:
-        """Before anything is sent on for a client that may have left since: what has not been read hides its
-        end from the loop, as does a loop that comes late, but not from the kernel."""
-        closing = self._transport is None or self._transport.is_closing()
-        if not (closing or self._half_closed) and self._shows(select.POLLRDHUP):
-            self.eof_received()
+    def has_left(self) -> bool:
+        """Whether it sends no more. What has not been read hides its end from the loop, as does a loop that
+        comes late, but not from the kernel. About 1 us."""
+        transport = self._transport
+        if not self._half_closed and transport is not None and not transport.is_closing():
+            self._half_closed = bool(self._end_poll.poll(0))
+            return self._half_closed
+        return True
 
     def _look_on(self) -> None:
         self._look = None
@@ -337,7 +337,8 @@
         if self._shows(0):  # reset
             self.abort()
             return
-        self.look_for_end()
+        if self.has_left() and self._number:
+            self._front.node.client_ends(self._number)
         self._look = self._loop.call_later(END_LOOK, self._look_on)
 
     def _shows(self, events: int) -> bool:
@@ -402,9 +403,6 @@
             up = self._front.node.can_serve() and not self._front.stopping
             self.answer(200 if up else 503, [], b"")
             return
-        if self._paused or self._queued or self._front.node.is_late():
-            self.look_for_end()
-        self._queued = False
         if self._half_closed:
             self.answer(503, self._front.node.advice(), b"")
             return
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -7,7 +7,6 @@
 from collections import deque
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
-from functools import partial
 from hashlib import blake2b
 from itertools import islice
 from math import inf
@@ -19,18 +18,19 @@
 from driftstair.hosts import Host, HostList
 from driftstair.net import discovery
 from driftstair.net.discovery import Discovery
-from driftstair.net.upstream import Answer, Attempt, Pools
+from driftstair.net.holds import HoldDetector
+from driftstair.net.invariants import Write, broken_by
+from driftstair.net.upstream import Answer, Attempt, Permit, Pools
+from driftstair.telemetry import Event, Telemetry
 from lichenspring import Balancer
 from lichenspring import interface as api
-from lichenspring.interface import ListKind, ListMode, Result, ServerState
+from lichenspring.interface import NEVER_RAN, ListKind, ListMode, Result, ServerState
 
 log = logging.getLogger(__name__)
 
 MS = 1_000_000  # ns
 TRANSIT = 5 * MS  # a final answer sets out so much before the client's deadline, to be there in time
 MENDED_AFTER = 1_000 * MS  # a timer whose event the module failed on is set again after so long
-HEARTBEAT = 20 * MS  # the loop's own pulse, and how far it may come late before the process counts as held up
-FRESH = 10 * MS  # a request taken so lately has its client still
 REPORT_MOST = 1024  # bytes of a load report
 SLICE = 256  # entries of a list that the module is told of in one turn of the loop
 WATCH_PAUSE = 0.03  # s, where lists are pushed: from the end of a watch to the next; doubles each time
@@ -52,9 +52,11 @@
 
 
 class Client(Protocol):
-    """Who asked: gets one answer. If it is found to have left, `Node.client_ends` is called at once."""
+    """Who asked: gets one answer. `Node.client_ends` is called as the loop reads its end."""
 
-    def look_for_end(self) -> None: ...
+    def has_left(self) -> bool:
+        """By the kernel's word, which the loop may not have read yet."""
+        ...
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
 
@@ -80,10 +82,10 @@
 
     number: int
     call: Call
-    taken: int  # monotonic ns
     watchdog: asyncio.TimerHandle | None = None
     answered: bool = False
-    left: bool = False  # its client sends no more
+    left_at: int = 0  # monotonic ns, when its client was seen to send no more; 0: it was not
+    ran_since: int = 0  # monotonic ns, when the first attempt that may have run was written; 0: none may have
     sent: int = 0  # attempts so far
     out: dict[int, Attempt] = field(default_factory=dict)
 
@@ -109,8 +111,8 @@
         self._next_slice: asyncio.Handle | None = None
         self._random = Random(config.seed)
         self._failed_watches = 0  # since the list was last told of
-        self._stalled = 0  # ns, all told, for which the process was held up
-        self._heartbeat_due = monotonic_ns()
+        self.telemetry = Telemetry()
+        self.holds = HoldDetector(self.telemetry)
         self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
         pushed = config.settings.list_mode is ListMode.PUSHED
         self._discovery = Discovery(
@@ -123,8 +125,7 @@
 
     def start(self) -> None:
         self._pools.start()
-        self._heartbeat_due = monotonic_ns()
-        self._heartbeat()
+        self.holds.start()
         self._act_on(self._balancer.start(monotonic_ns()))
         self._follow(ListKind.CACHED, self._config.known.hosts)
         if self._config.settings.list_mode is ListMode.PUSHED:
@@ -150,21 +151,6 @@
         self._config = replace(self._config, discovery=config.discovery)
         self._discovery.move(config.discovery)
 
-    def _heartbeat(self) -> None:
-        self._stalled = self._stalled_ns()
-        self._heartbeat_due = monotonic_ns() + HEARTBEAT
-        self._loop.call_later(HEARTBEAT / 1e9, self._heartbeat)
-
-    def _stalled_ns(self) -> int:
-        """For how long the process has been held up since its start: it may be stopped, or its core taken.
-        Guards against a module that takes this for the servers' time, and refuses or ejects for it."""
-        late = monotonic_ns() - self._heartbeat_due
-        return self._stalled + (late if late > HEARTBEAT else 0)
-
-    def is_late(self) -> bool:
-        """The loop is behind: what it reads now may have lain with the kernel for longer than a heartbeat."""
-        return monotonic_ns() - self._heartbeat_due > HEARTBEAT
-
     def can_serve(self) -> bool:
         return bool(self._ready)
 
@@ -214,8 +200,10 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Refuse):
+            self.telemetry.count(Event.REQUEST_REFUSED_BY_MODULE, request=action.request)
             self._answer(action.request, 503, _advice(action.retry_after))
         elif isinstance(action, api.Fail):
+            self.telemetry.count(Event.REQUEST_FAILED_BY_MODULE, request=action.request)
             request = self._open.get(action.request)
             late = request is not None and monotonic_ns() >= request.call.deadline - TRANSIT
             self._answer(action.request, 504 if late else 502, [])
@@ -245,14 +233,19 @@
         """A client's request has come. Returns its number, for `client_gone`."""
         self._last_number += 1
         now = monotonic_ns()
-        request = Open(self._last_number, call, now)
+        request = Open(self._last_number, call)
+        self.telemetry.count(Event.REQUEST_TAKEN, request=request.number, id=call.identity)
         left = call.deadline - TRANSIT - now
         if left <= 0:
+            self.telemetry.count(Event.REQUEST_EXPIRED_UNREAD, request=request.number)
             call.client.answer(504, [], b"")
         elif call.identity in self._identities:
             # Guards against a stranger that sends another client's id: a server would take it for a copy.
+            self.telemetry.count(Event.REQUEST_DUPLICATE_ID, request=request.number)
             call.client.answer(409, [], b"")
         elif self._ending or len(self._open) >= self._config.open_cap:
+            refusal = Event.REQUEST_REFUSED_AT_END if self._ending else Event.REQUEST_REFUSED_BY_LIMIT
+            self.telemetry.count(refusal, request=request.number)
             call.client.answer(503, self.advice(), b"")
         else:
             self._open[request.number] = request
@@ -274,15 +267,17 @@
         request = self._open.get(number)
         if request is None or request.answered:
             return
+        self.telemetry.count(Event.CLIENT_LEFT, request=number)
         self._close(request)
 
     def client_ends(self, number: int) -> None:
         """It sends no more, which is all that shows of one that closes its connection. What is out is waited
         for; a dial, or what is not written to its last byte, is given up."""
         request = self._open.get(number)
-        if request is None or request.answered:
+        if request is None or request.answered or request.left_at:
             return
-        request.left = True
+        self.telemetry.count(Event.CLIENT_LEFT, request=number)
+        request.left_at = monotonic_ns()
         self._tell(api.ClientGone(number, reads=True))
         for attempt in list(request.out.values()):
             attempt.give_up_unwritten()
@@ -290,6 +285,7 @@
     def _overdue(self, request: Open, status: int = 504) -> None:
         """Guards against a request that nobody answers, whatever the reason."""
         if not request.answered:
+            self.telemetry.count(Event.REQUEST_OVERDUE, request=request.number, status=status)
             request.call.client.answer(status, [], b"")
             self._close(request)
 
@@ -329,30 +325,86 @@
         request.sent += 1
         pool = self._pools.get(action.server)
         too_many = index >= self._config.settings.max_attempts
-        if pool is None or request.answered or too_many or self._has_left(request):
+        if pool is None or request.answered or too_many:
+            stopped = Event.ATTEMPT_STOPPED_SERVER_LEFT if pool is None else Event.ATTEMPT_STOPPED_LIMIT
+            self.telemetry.count(stopped, request=request.number, attempt=index)
             self._tell(
                 api.Outcome(request.number, request.answered, Result.NOT_SENT, 0, action.server, index, ())
             )
             return
         now = monotonic_ns()
         latest = request.call.deadline - TRANSIT
-        expires = min(latest, now + action.time_out) if action.time_out else latest
-        ended = partial(self._ended, request, index, action.server, now - self._stalled_ns())
-        attempt = Attempt(pool, request.call.head, request.call.body, expires, action.write_by, ended)
+        attempt = Attempt(
+            self, request.number, index, action.server, pool, request.call.head, request.call.body,
+            since=now - self.holds.stalled_ns(),
+            expires=min(latest, now + action.time_out) if action.time_out else latest,
+            write_by=action.write_by,
+        )  # fmt: skip
         request.out[index] = attempt
         attempt.start()
 
-    def _has_left(self, request: Open) -> bool:
-        """Whether its client has, for a further attempt or one that waited: its end may lie unread."""
-        if not request.left and monotonic_ns() - request.taken >= FRESH:
-            request.call.client.look_for_end()
-        return request.left
-
-    def _ended(
-        self, request: Open, index: int, server: api.ServerId, since: int,
-        result: Result, answer: Answer | None,
-    ) -> None:
-        elapsed = monotonic_ns() - self._stalled_ns() - since
+    def permit(self, attempt: Attempt) -> Permit:
+        """The one guard of all that is written to servers, asked before each dial and each write: what was
+        decided may have been overtaken by what lies unread with the kernel."""
+        request = self._open.get(attempt.request)
+        if request is None or request.answered:
+            return Permit.STOP
+        if attempt.pool.retired:
+            self.telemetry.count(
+                Event.ATTEMPT_STOPPED_SERVER_LEFT, request=request.number, attempt=attempt.index
+            )
+            return Permit.STOP
+        if self.holds.is_settling():
+            # News of the list may lie beside the requests, and be older than the grace of a drain.
+            self.telemetry.count(Event.ATTEMPT_HELD_FOR_NEWS, request=request.number, attempt=attempt.index)
+            return Permit.WAIT
+        if request.left_at or request.call.client.has_left():
+            self.telemetry.count(
+                Event.ATTEMPT_STOPPED_CLIENT_LEFT, request=request.number, attempt=attempt.index
+            )
+            self.client_ends(request.number)
+            return Permit.STOP
+        return Permit.WRITE
+
+    def written(self, attempt: Attempt, told: int) -> None:
+        """Checks what the guards are for, as the last byte is on its way."""
+        request = self._open.get(attempt.request)
+        assert request is not None  # it has this attempt out
+        self.telemetry.count(
+            Event.ATTEMPT_WRITTEN, request=request.number, attempt=attempt.index, server=attempt.server
+        )
+        if attempt.index:
+            self.telemetry.count(Event.ATTEMPT_REPEATED)
+        now = monotonic_ns()
+        kind = self._config.settings.classes[request.call.class_index]
+        pool = attempt.pool
+        write = Write(
+            repeat=kind.repeat,
+            window=kind.window,
+            attempt=attempt.index,
+            attempts_most=self._config.settings.max_attempts,
+            others_out=len(request.out) - 1,
+            answered=request.answered,
+            ran_since=now - request.ran_since if request.ran_since else None,
+            client_left_since=now - request.left_at if request.left_at else None,
+            server_left_since=now - pool.retired_at if pool.retired else None,
+            drain_grace=self._config.drain_grace,
+            told=told,
+            left=request.call.deadline - now,
+        )
+        for invariant in broken_by(write):
+            self.telemetry.violate(
+                invariant, request=request.number, id=request.call.identity, attempt=attempt.index
+            )
+        attempt.written_at = now
+
+    def ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
+        """What became of an attempt: the answer goes to the client, and the module hears of it."""
+        request = self._open[attempt.request]
+        index, server = attempt.index, attempt.server
+        elapsed = monotonic_ns() - self.holds.stalled_ns() - attempt.since
+        if result not in NEVER_RAN and not request.ran_since:
+            request.ran_since = attempt.written_at or monotonic_ns()
         del request.out[index]
         if answer is not None and not request.answered:
             if result is Result.OK:
@@ -392,6 +444,7 @@
 
     def _watch_failed(self) -> None:
         self._synced.set()
+        self.telemetry.count(Event.WATCH_FAILED)
         if self._config.settings.list_mode is ListMode.PUSHED:
             self._loop.call_later(self._watch_pause(), self._discovery.watch)
         else:
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -6,10 +6,12 @@
 import errno
 import select
 import socket
-from collections.abc import Callable, KeysView
+from bisect import insort
+from collections.abc import KeysView
 from contextlib import suppress
+from enum import Enum
 from time import monotonic_ns
-from typing import NamedTuple, cast
+from typing import NamedTuple, Protocol, cast
 
 import httptools
 
@@ -19,9 +21,9 @@
 HEAD_MOST = 16 << 10
 INTERIM_MOST = 16  # 1xx answers ahead of one
 COOL_DOWN = 5_000_000  # ns for which a connection is left alone after an answer: more may be on its way
+RECHECK = 0.002  # s until an attempt that has to wait asks for leave again
 LATE = 5_000_000  # ns that a timer may come behind its time before the process counts as held up
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
-IDLE_SWEEPS = 20  # in that time
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
@@ -37,27 +39,54 @@
     load: bytes  # the load report; empty if there is none
 
 
+class Permit(Enum):
+    """What the guard of all writes says of one that is about to begin."""
+
+    WRITE = "write"
+    WAIT = "wait"  # ask again soon
+    STOP = "stop"  # nothing may be written for this attempt any more
+
+
+class AttemptOwner(Protocol):
+    """Who an attempt asks before each write and dial, and tells of what became of it."""
+
+    def permit(self, attempt: Attempt) -> Permit: ...
+
+    def written(self, attempt: Attempt, told: int) -> None:
+        """Its last byte is with the kernel, or soon will be; the server was told of `told` ns."""
+
+    def ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None: ...
+
+
 class Attempt:
-    """One request at one server. It ends once: by `end`, and then `on_end` hears of it."""
+    """One request at one server. It ends once: by `end`, and then its owner hears of it."""
 
     __slots__ = (
-        "_body", "_connection", "_dial", "_head", "_on_end", "_timer", "_write_timer", "done", "expires",
-        "pool", "write_by",
+        "_body", "_connection", "_dial", "_dialed", "_head", "_owner", "_timer", "_wait_timer",
+        "_write_timer", "done", "expires", "index", "pool", "request", "server", "since", "write_by",
+        "written_at",
     )  # fmt: skip
 
     def __init__(
-        self, pool: Pool, head: bytes, body: bytes, expires: int, write_by: int,
-        on_end: Callable[[Result, Answer | None], None],
+        self, owner: AttemptOwner, request: int, index: int, server: ServerId, pool: Pool, head: bytes,
+        body: bytes, since: int, expires: int, write_by: int,
     ) -> None:  # fmt: skip
+        self.request = request  # its number
+        self.index = index  # among the attempts of its request, from 0
+        self.server = server
         self.pool = pool
+        self.since = since  # monotonic ns, less the holds up to then
         self.expires = expires  # monotonic ns
         self.write_by = write_by  # monotonic ns; 0: no such bound
+        self.written_at = 0  # monotonic ns, when it was written; 0: it was not
         self.done = False
         self._head = head
         self._body = body
-        self._on_end = on_end
+        self._owner = owner
         self._connection: Connection | None = None
         self._dial: asyncio.Task[None] | None = None
+        self._dialed: Connection | None = None  # has come up, and waits for leave to be written to
+        self._wait_timer: asyncio.TimerHandle | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
@@ -65,8 +94,19 @@
         if self.write_by:
             left = max(0, self.write_by - monotonic_ns()) / 1e9
             self._write_timer = asyncio.get_running_loop().call_later(left, self.give_up_unwritten)
-        connection = self.pool.take()
-        if connection is not None:
+        self._begin()
+
+    def _begin(self) -> None:
+        """Write on a connection that is idle, or dial one. Neither without leave: the client may have left
+        since the request was read, and a dial costs its server as well."""
+        permit = self._owner.permit(self)
+        if self.done:
+            return
+        if permit is Permit.STOP:
+            self.end(Result.NOT_SENT)
+        elif permit is Permit.WAIT:
+            self._wait_timer = asyncio.get_running_loop().call_later(RECHECK, self._begin)
+        elif (connection := self.pool.take()) is not None:
             self._write(connection)
         elif not self.pool.pools.room():
             # The node's own want of descriptors is no failure of the server.
@@ -100,20 +140,40 @@
         else:
             if self._timer is not None:
                 self._timer.cancel()
+            self._write_dialed(connection)
+
+    def _write_dialed(self, connection: Connection) -> None:
+        """While it was dialed the client may have left, or the server."""
+        self._dialed = connection
+        permit = self._owner.permit(self)
+        if self.done:
+            return
+        if permit is Permit.STOP:
+            self.end(Result.NOT_SENT)
+        elif permit is Permit.WAIT:
+            self._wait_timer = asyncio.get_running_loop().call_later(
+                RECHECK, self._write_dialed, connection
+            )
+        else:
+            self._dialed = None
             self._write(connection)
 
     def _write(self, connection: Connection) -> None:
+        if connection.closed:  # it ended while the attempt waited
+            self.end(Result.CONNECT_FAILED)
+            return
         now = monotonic_ns()
         left = self.expires - now
         too_late_to_write = 0 < self.write_by <= now
         if left <= 0 or too_late_to_write:
-            self.pool.put(connection)
+            self.pool.put_back(connection)
             # That the time to write it was short is no failure of the server.
             self.end(Result.NOT_SENT if too_late_to_write else Result.CONNECT_FAILED)
             return
         self._connection = connection
         self._expires_at(self.expires)
         connection.send(self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, left // 1000, self._body))
+        self._owner.written(self, left)
 
     def _expires_at(self, at: int) -> None:
         # The loop counts in whole milliseconds and rounds. Guards against a time-out that comes a little
@@ -151,16 +211,19 @@
         if self.done:
             return
         self.done = True
-        for timer in (self._timer, self._write_timer):
+        for timer in (self._timer, self._write_timer, self._wait_timer):
             if timer is not None:
                 timer.cancel()
         if self._dial is not None:
             self._dial.cancel()
         self.pool.dialing.pop(self, None)
+        dialed, self._dialed = self._dialed, None
+        if dialed is not None:
+            self.pool.put_back(dialed)
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.release(self)
-        self._on_end(result, answer)
+        self._owner.ended(self, result, answer)
 
 
 class Connection(asyncio.Protocol):
@@ -342,13 +405,14 @@
 class Pool:
     """The idle connections to one server. After a restart or with a new address it gets another pool."""
 
-    __slots__ = ("address", "dialing", "idle", "pools", "retired", "started")
+    __slots__ = ("address", "dialing", "idle", "pools", "retired", "retired_at", "started")
 
     def __init__(self, pools: Pools, address: tuple[str, int], started: int) -> None:
         self.pools = pools
         self.address = address
         self.started = started
         self.retired = False
+        self.retired_at = 0  # monotonic ns
         self.idle: list[Connection] = []  # the most recently used last
         self.dialing: dict[Attempt, None] = {}  # an empty set takes three times the memory
 
@@ -369,11 +433,21 @@
         return None
 
     def put(self, connection: Connection) -> None:
-        if self.retired:
+        """One that has just brought an answer is idle from now on."""
+        connection.idle_since = monotonic_ns()
+        self._keep(connection)
+
+    def put_back(self, connection: Connection) -> None:
+        """One that carried nothing since it was taken or dialed. Its server counts its idle time on."""
+        if not connection.idle_since:
+            connection.idle_since = monotonic_ns()
+        self._keep(connection)
+
+    def _keep(self, connection: Connection) -> None:
+        if self.retired or connection.closed:
             connection.close()
         else:
-            connection.idle_since = monotonic_ns()
-            self.idle.append(connection)
+            insort(self.idle, connection, key=_idle_since)
             self.pools.with_idle[self] = None
 
     def lost(self, connection: Connection) -> None:
@@ -391,11 +465,16 @@
     def retire(self) -> None:
         """The server drains, is gone or restarted: nothing new may reach it, nor what waits for a dial."""
         self.retired = True
+        self.retired_at = monotonic_ns()
         self.drop_idle()
         for attempt in list(self.dialing):
             attempt.end(Result.NOT_SENT)
 
 
+def _idle_since(connection: Connection) -> int:
+    return connection.idle_since
+
+
 class Pools:
     """All pools, within the descriptors that the node may use for servers."""
 
