Forward whole answers that end with their connection, and no cut one

Cause: Connection.on_headers_complete refused each at its head, since one that was cut ends alike. Change: an orderly end (a FIN, with no reset behind it in the kernel) is the end of such an answer, in HTTP/1.1, HTTP/1.0 and under Transfer-Encoding: identity; a reset, a time-out and a 200 without a byte of a body are cuts. An answer in any coding but chunked and identity is an error: its body would have been passed on still coded.

--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -10,6 +10,7 @@
 from collections.abc import KeysView
 from contextlib import suppress
 from enum import Enum
+from http import HTTPStatus
 from time import monotonic_ns
 from typing import NamedTuple, Protocol, cast
 
@@ -25,6 +26,7 @@
 LATE = 5_000_000  # ns that a timer may come behind its time before the process counts as held up
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
 NO_FAULT_OF_THE_REQUEST = (408, 429)  # 4xx, yet of the server's own time and load
+WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"proxy-connection", b"te",
     b"trailer", b"transfer-encoding", b"upgrade", b"content-length",
@@ -244,6 +246,7 @@
         self._load = b""
         self._not_run = False
         self._framed = False
+        self._ends_with_connection = False  # the answer has neither a length nor chunks
         self._body: list[bytes] = []
         self._size = 0
         self._in_head = True
@@ -281,7 +284,7 @@
         self._headers = []
         self._body = []
         self._load = b""
-        self._not_run = self._framed = self._whole = False
+        self._not_run = self._framed = self._whole = self._ends_with_connection = False
         self._in_head = True
 
     def release(self, attempt: Attempt) -> None:
@@ -316,6 +319,19 @@
             if self._size > HEAD_MOST:
                 self._break(Result.ERROR)
 
+    def eof_received(self) -> bool:
+        """The server's orderly end, which is also that of an answer that has no other. A 200 has a body: one
+        with no byte of it comes from a server that ended behind the head."""
+        whole = self._ends_with_connection and not self._in_head and self.written
+        if whole and not self._is_reset() and (self._body or self._status != HTTPStatus.OK):
+            self._whole = True
+            self._complete()
+        return False
+
+    def _is_reset(self) -> bool:
+        """Behind the end that is being read the kernel may hold a reset."""
+        return any(events & (select.POLLERR | select.POLLHUP) for _, events in self._poll.poll(0))
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
         self._pool.lost(self)
@@ -358,7 +374,10 @@
                 raise ValueError("an answer that is too long")
             self._framed = True
         elif lower == b"transfer-encoding":
-            self._framed = True
+            coding = value.strip().lower()
+            if coding not in (b"chunked", b"identity"):
+                raise ValueError("an answer in a coding that is not undone")
+            self._framed = coding == b"chunked"
         elif lower not in HOP_BY_HOP:
             self._headers.append((name, value))
 
@@ -369,9 +388,8 @@
             self._interims += 1
             if self._interims > INTERIM_MOST:
                 raise ValueError("interim answers without end")
-        elif not self._framed and self._status not in (204, 304):
-            # It would end with its connection, and so would one that was cut.
-            raise ValueError("an answer with neither length nor end")
+        else:
+            self._ends_with_connection = not self._framed and self._status not in WITHOUT_BODY
         self._in_head = False
         self._size = 0
 
