Begin spans of a server's life by the monotonic clock, not by the wall clock

Seen: with the node's clock an hour behind, servers that had started 30 s ago stayed cold and requests were refused; an hour ahead, or after a step of all clocks, cold servers got the share of warm ones. Cause: Node._to_monotonic, fixed at the start, turned started_ms into monotonic time. Change: starts.py. The newest start of the first list is now, the others as much older as their figures say; a start that is told later is now, whatever its figure. The docstring names the errors left, which take warm servers for cold. For that the module no longer starves a fleet that is cold as the node starts: where no warm server was seen, what the node is asked for stands for what the fleet can do when warm; up to three nodes may each send one request to a cold server at once.

--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -11,7 +11,7 @@
 from itertools import islice
 from math import inf
 from random import Random
-from time import monotonic_ns, time_ns
+from time import monotonic_ns
 from typing import Protocol
 
 from driftstair.config import Config
@@ -21,6 +21,7 @@
 from driftstair.net.holds import HoldDetector
 from driftstair.net.invariants import Write, broken_by
 from driftstair.net.upstream import Answer, Attempt, Permit, Pools
+from driftstair.starts import StartTimes
 from driftstair.telemetry import Event, Telemetry
 from lichenspring import Balancer
 from lichenspring import interface as api
@@ -113,7 +114,7 @@
         self._failed_watches = 0  # since the list was last told of
         self.telemetry = Telemetry()
         self.holds = HoldDetector(self.telemetry)
-        self._to_monotonic = monotonic_ns() - time_ns()  # fixed: a start time must translate alike each time
+        self._starts = StartTimes()
         pushed = config.settings.list_mode is ListMode.PUSHED
         self._discovery = Discovery(
             config.discovery, config.known.version, self._list_came, self._watch_failed,
@@ -127,6 +128,7 @@
         self._pools.start()
         self.holds.start()
         self._act_on(self._balancer.start(monotonic_ns()))
+        self._starts.learn(self._config.known.hosts, monotonic_ns())
         self._follow(ListKind.CACHED, self._config.known.hosts)
         if self._config.settings.list_mode is ListMode.PUSHED:
             self._discovery.watch()
@@ -438,6 +440,8 @@
 
     def _list_came(self, update: HostList) -> None:
         self._failed_watches = 0
+        self._starts.learn(update.hosts, monotonic_ns())
+        self._starts.end_first_list()
         self._follow(ListKind.FULL if update.full else ListKind.DELTA, update.hosts)
         if not self._outstanding:
             self._synced.set()
@@ -518,13 +522,12 @@
         self._tell(api.ServerList(kind, servers))
         for identity in leaving:
             self._pools.retire(identity)
+        self._starts.trim(self._hosts)
 
     def _server(self, host: Host) -> api.Server:
-        started = host.started_ms * MS + self._to_monotonic if host.started_ms else 0
-        if host.started_ms and not started:
-            started = 1  # 0 stands for long ago
         zones, kinds = self._config.zones, self._config.kinds
         return api.Server(
-            digest(host.id), zones.get(host.zone, len(zones)), host.cell, host.state, host.weight, started,
+            digest(host.id), zones.get(host.zone, len(zones)), host.cell, host.state, host.weight,
+            self._starts.translate(host),
             kinds.get(host.kind, len(kinds)),
         )  # fmt: skip
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -82,6 +82,7 @@
 STALE = 8  # entries in the heap of the ejected for each of them, before it is made anew
 EJECT_TIME = 2 * SECOND  # doubles with each failed trial
 SLOW_START_CAUTION = 0.8  # of what a warm server takes: a cold server's keys are cold too and cost more
+COLD_SLACK = 3.0  # requests, of all nodes, that a cold server stands beyond its budget, however small that is
 SLOW_START_BURST = 2.0  # requests that a cold server's budget may save up
 IDLE_SURE = SECOND // 4  # a connection that idled for less is no worse than a new one
 LOST_WEIGHT, SILENT_WEIGHT = 0.2, 0.05  # part of the newest in what each sort loses; of an idle time-out
@@ -305,6 +306,9 @@
         self._answered = 0  # requests, by warm servers in this window
         self._warm_answers = self._warm_time = self._time = 0.0  # the same, their weight by time, and time
         self._rate = 0.0  # answers per nanosecond and unit of a warm server's weight, lately
+        self._window_requests = 0  # arrivals in this window
+        self._arrival_rate = 0.0  # requests per nanosecond, lately
+        self._assumed_rate = 0.0  # stands in for the rate of warm servers while none was measured
         self._visits = 1.0  # part of the visits to a cold server that may use what is saved up
         self._watching = False
         self._actions: list[api.Action] = []
@@ -419,6 +423,7 @@
 
     def _arrive(self, now: int, request: api.Request) -> None:
         kind = self._settings.classes[request.class_index]
+        self._window_requests += 1
         if request.key:
             self._hitters.add(request.key)
         expires = now + request.time_left
@@ -660,6 +665,18 @@
         # Falls slowly: while the breaker refuses much, cold servers would get the less for it too.
         self._rate = max(mean, PROVEN_FADES * self._rate)
         self._answered = 0
+        newest = self._window_requests / PERIOD
+        self._arrival_rate += (1.0 - KEEP) * (newest - self._arrival_rate) if self._arrival_rate else newest
+        self._window_requests = 0
+        self._assumed_rate = self._rate or self._assume_rate()
+
+    def _assume_rate(self) -> float:
+        """What a warm server takes for its weight, in requests per nanosecond, where none was seen warm yet,
+        as after a start amid a release: the fleet is taken to be able to do, warm, what it is asked for, each
+        server its even part of this node's arrivals. Too much only where more is asked for than the fleet can
+        do; the fall multiple and the caution leave room for that."""
+        weight = sum(backend.entry.weight for backend in self._ready)
+        return self._arrival_rate / weight if weight else 0.0
 
     def _warm_weight(self, now: int) -> float:
         """Of the servers that are ready. Looks at those that were cold when it last did."""
@@ -686,7 +703,7 @@
             return False
         if (warmth := self._warmth(now, backend.entry)) >= 1.0:
             return True
-        share = SLOW_START_CAUTION * warmth * self._rate * backend.entry.weight
+        share = SLOW_START_CAUTION * warmth * (self._rate or self._assumed_rate) * backend.entry.weight
         backend.tokens = min(SLOW_START_BURST, backend.tokens + share * (now - backend.refilled))
         backend.refilled = now
         return backend.tokens >= 1.0 and self._random.random() < self._visits
@@ -891,8 +908,10 @@
 
     def _first_token(self, now: int, server: api.Server) -> float:
         """A random part, so that the nodes' first requests spread, and what a visit brings: a node that sees
-        a server seldom would else earn its first request long after its first visit."""
-        return self._random.random() + SLOW_START_CAUTION * min(1.0, self._warmth(now, server)) * self._visits
+        a server seldom would else earn its first request long after its first visit. Few nodes may each send
+        one at once: a fleet of one server that restarts is not left without any."""
+        brought = SLOW_START_CAUTION * min(1.0, self._warmth(now, server)) * self._visits
+        return max(self._random.random() + brought, min(1.0, COLD_SLACK / self._settings.nodes))
 
     def _find_surge(self, now: int) -> None:
         """What all nodes have saved up for a cold server must not come at once when others are lost and each
