--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -237,6 +237,31 @@
     run(test())
 
 
+def test_dials_and_watches_that_fail_are_freed_at_once() -> None:
+    """The parser of each was made before its connection came up, and nobody parted the two where it did not.
+    The watch that the rig's module asks for after 0.1 s is one such: on a busy machine the test above lasted
+    longer, and found its parser."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            server.stop()
+            await asyncio.sleep(0.3)  # the module's own watch has failed by now
+            gc.collect()
+            gc.disable()
+            try:
+                client = await rig.client()
+                assert status(await client.ask(request())) == 503
+                rig.watch()
+                await until(lambda: len(rig.spy.lists(api.ListKind.FAILED)) >= 2)
+                await asyncio.sleep(0.02)
+                left = [type(one).__name__ for one in gc.get_objects()]
+                assert left.count("HttpResponseParser") == 0
+            finally:
+                gc.enable()
+
+    run(test())
+
+
 @pytest.mark.parametrize("how", ["retired", "gone"])
 def test_a_dial_that_comes_up_as_its_attempt_ends_leaves_no_trace(
     how: str, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -548,3 +548,29 @@
                 assert status(await (await node.client()).ask(request())) == 200
 
     run(test())
+
+
+@pytest.mark.parametrize("found", ["", "half", "gone"])
+def test_a_configuration_that_is_not_whole_yet_is_read_again(found: str, tmp_path: Path) -> None:
+    """It was read once, and given up for good: no watch was opened at the new agent."""
+
+    async def test() -> None:
+        async with Discovery() as old, Discovery() as new, Server("s-1") as server:
+            document = configuration(server, discovery=old.address)
+            document["settings"]["MembershipMode"] = "pushed"
+            async with program(document, tmp_path) as node:
+                path = tmp_path / "config.json"
+                text = json.dumps(document | {"discovery": new.address})
+                if found == "gone":
+                    path.unlink()
+                else:
+                    path.write_text(text[: len(text) // 2] if found else "")
+                node.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.2)
+                assert not new.targets
+                path.write_text(text)
+                async with asyncio.timeout(2.0):
+                    await until(lambda: new.targets)
+                assert status(await (await node.client()).ask(request())) == 200
+
+    run(test())
