--- a/driftstair/__main__.py
+++ b/driftstair/__main__.py
@@ -15,6 +15,7 @@
 from driftstair.net.front import Front
 from driftstair.net.node import Node
 from driftstair.net.upstream import Pools
+from driftstair.telemetry import Event
 
 log = logging.getLogger("driftstair")
 
@@ -26,6 +27,10 @@
 LONGEST_DEADLINE = 3.0  # s, as far as the platform waits
 MARGIN = 0.3  # s before SIGKILL
 
+RELOAD_PAUSE = 0.02  # s until a configuration that can't be used is read again; doubles with each try
+RELOAD_PAUSE_MOST = 0.2  # s
+RELOAD_TRIED_FOR = 3.0  # s: what the new agent holds counts as told 4 s after the signal
+
 
 def assemble(config: Config) -> tuple[Node, Front]:
     usable = config.sockets - RESERVED
@@ -44,14 +49,41 @@
     return max(SERVE_ON, within - min(longest, max(held))), within
 
 
-def follow_file(node: Node) -> None:
-    """SIGHUP: the file has been replaced. Whatever is wrong with the new one, the node serves on."""
-    try:
-        config = reload(os.environ)
-    except ConfigError as problem:
-        log.error("the new configuration is not used: %s", problem)
-    else:
-        node.reload(config)
+class FileFollower:
+    """Reads the configuration anew at SIGHUP. Whatever is wrong with the file, the node serves on. A file
+    that can't be used may be half written: it is read again for a bounded time."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._loop = asyncio.get_running_loop()
+        self._next: asyncio.TimerHandle | None = None
+
+    def signalled(self) -> None:
+        """A signal in the midst of the tries that an earlier one began starts them anew."""
+        if self._next is not None:
+            self._next.cancel()
+        self._try(0, self._loop.time() + RELOAD_TRIED_FOR)
+
+    def _try(self, failed: int, end: float) -> None:
+        self._next = None
+        telemetry = self._node.telemetry
+        try:
+            config = reload(os.environ)
+        except ConfigError as problem:
+            pause = min(RELOAD_PAUSE_MOST, RELOAD_PAUSE * 2**failed)
+            if self._loop.time() + pause > end:
+                telemetry.count(Event.RELOAD_ABANDONED, tries=failed + 1)
+                log.error("the new configuration is not used after %d tries: %s", failed + 1, problem)
+                return
+            if not failed:
+                log.warning("the new configuration can't be used yet: %s", problem)
+            telemetry.count(Event.RELOAD_RETRIED)
+            self._next = self._loop.call_later(pause, self._try, failed + 1, end)
+        else:
+            telemetry.count(Event.RELOAD_APPLIED, tries=failed + 1)
+            if failed:
+                log.info("the new configuration is used after %d tries", failed + 1)
+            self._node.reload(config)
 
 
 async def serve(config: Config) -> int:
@@ -61,7 +93,7 @@
         loop.add_signal_handler(number, stop.set)
     node, front = assemble(config)
     # Guards against the default, which ends the process and all that it holds.
-    loop.add_signal_handler(signal.SIGHUP, follow_file, node)
+    loop.add_signal_handler(signal.SIGHUP, FileFollower(node).signalled)
     node.start()
     await node.wait_synced()
     try:
@@ -75,6 +107,7 @@
     await stop.wait()
     log.info("stopping")
     await front.stop(*plan_end(config))
+    node.telemetry.report()
     return 0
 
 
--- a/driftstair/net/discovery.py
+++ b/driftstair/net/discovery.py
@@ -162,7 +162,7 @@
     def __init__(self, owner: Discovery) -> None:
         self._owner = owner
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = None  # while the connection is open
         self._rest = b""
         self._seen = 0  # bytes of it that hold no further mark
         self._depth = 0  # braces open there
@@ -172,6 +172,7 @@
 
     def close(self) -> None:
         self._timer.cancel()
+        self._parser = None  # the two hold each other, and would stay until the collector comes
         if self._transport is not None:
             self._transport.abort()
 
@@ -192,13 +193,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         if self._owner.is_current(self):
+            self._parser = httptools.HttpResponseParser(self)
             transport.write(self._owner.request())
         else:  # given up while it was dialed: a watch that nobody reads is load for discovery
             transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        parser = self._parser
+        if parser is None:
+            return
         try:
-            self._parser.feed_data(data)
+            parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
             self._fail(f"unreadable: {problem!r}")
 
@@ -209,6 +214,8 @@
     # What the parser finds.
 
     def on_headers_complete(self) -> None:
+        if self._parser is None:
+            return
         status = self._parser.get_status_code()
         if status == 200:
             self._wait(self._begun + FIRST)
--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -7,6 +7,7 @@
 import logging
 import select
 import socket
+from contextlib import suppress
 from http import HTTPStatus
 from time import monotonic_ns
 from typing import cast
@@ -14,13 +15,17 @@
 from driftstair.config import Config
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
+from driftstair.telemetry import Event
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
 ACCEPTS = 16  # in one turn of the loop, so that a flood of connections leaves turns for the others
 LOOK = 0.02  # s until the next look at a full table, while clients wait for a place in it
-FULL_PAUSE = 0.05  # s until the next look at the listening socket, where no descriptor was left
+ACCEPT_PAUSE = 0.002  # s until accept is tried again after it failed; doubles with each failure in a row
+ACCEPT_PAUSE_MOST = 0.05  # s
+ACCEPT_DOUBLINGS = 5
+WANT_OF_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 RECLAIM_AFTER = 0.1  # s that a connection has brought nothing at least before it makes room for another
 SWEEP = 0.2  # s
 NEW_MOST = 2.0  # s from connecting to the first whole request
@@ -52,6 +57,7 @@
         self._socket: socket.socket | None = None
         self._accepting = False
         self._looks_again = False
+        self._failed_accepts = 0  # in a row
         self._open = 0
         self._connections: set[ClientConnection] = set()
         # Since when; the first of each has been there longest. A connection is in one of them, or has a
@@ -101,22 +107,31 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as problem:
-                if problem.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    # Without one idle connection less, those that wait would do so until a client leaves.
-                    self._reclaim_one()
-                    self._pause()
-                    self._loop.call_later(FULL_PAUSE, self._resume)
-                    return
-                continue  # that one client is gone already
+                self._accept_failed(problem)
+                return
+            self._failed_accepts = 0
             self._open += 1
             task = self._loop.create_task(self._enter(accepted))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
+    def _accept_failed(self, problem: OSError) -> None:
+        """Whatever the reason, the socket stays readable while clients wait: without a pause the loop would
+        spin."""
+        self.node.telemetry.count(Event.ACCEPT_FAILED, errno=problem.errno)
+        if problem.errno in WANT_OF_DESCRIPTORS:
+            # Without one idle connection less, those that wait would do so until a client leaves.
+            self._reclaim_one()
+        self._pause()
+        pause = min(ACCEPT_PAUSE_MOST, ACCEPT_PAUSE * 2 ** min(self._failed_accepts, ACCEPT_DOUBLINGS))
+        self._failed_accepts += 1
+        self._loop.call_later(pause, self._resume)
+
     async def _enter(self, accepted: socket.socket) -> None:
         try:
             accepted.setblocking(False)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with suppress(OSError):  # a want of memory, for a moment, or a client that is gone
+                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self._loop.connect_accepted_socket(lambda: ClientConnection(self), accepted)
         except Exception as problem:
             log.warning("a client was lost as it came: %r", problem)
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -235,7 +235,7 @@
         self._pool = pool
         self._transport: asyncio.Transport | None = None
         self._poll = select.poll()
-        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = None  # while the connection is open
         self._attempt: Attempt | None = None
         self.written = False  # the last byte of the request is with the kernel
         self.closed = False
@@ -255,6 +255,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self._pool.pools.sockets += 1
+        self._parser = httptools.HttpResponseParser(self)
         own = transport.get_extra_info("socket")
         self._poll.register(own.fileno(), select.POLLIN)
         with suppress(OSError):  # it may be broken already
