Decide by one table whose fault a failed system call is; wait where it is this machine's

Seen: for half a second of EADDRNOTAVAIL, ENOBUFS, ENOMEM, EMFILE and the like requests with seconds left were refused, and servers ejected. Cause: Attempt._connect knew EMFILE and ENFILE alone as its own, and ended even these at once, so that all further attempts were spent in the same moment; the module took a retry budget for attempts that were never sent, and counted them as connections that came up. Change: net/errnos.py names the fault of each errno. This machine's: the dial is tried again here, after 5 to 40 ms, until the attempt's time is over; for want of descriptors an idle connection is closed first. No way to the peer: the peer's fault, until two in a row without one reached show that it is ours. The time spent is not the server's. A connection that ends by an error of ours is no reset. The module spends no budget for what was not sent.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -13,6 +13,7 @@
 from typing import cast
 
 from driftstair.config import Config
+from driftstair.net.errnos import Fault, fault_of
 from driftstair.net.node import Call, Node, key_number
 from driftstair.net.request import UP, Incoming, Reader
 from driftstair.telemetry import Event
@@ -25,7 +26,6 @@
 ACCEPT_PAUSE = 0.002  # s until accept is tried again after it failed; doubles with each failure in a row
 ACCEPT_PAUSE_MOST = 0.05  # s
 ACCEPT_DOUBLINGS = 5
-WANT_OF_DESCRIPTORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 RECLAIM_AFTER = 0.1  # s that a connection has brought nothing at least before it makes room for another
 SWEEP = 0.2  # s
 NEW_MOST = 2.0  # s from connecting to the first whole request
@@ -119,7 +119,7 @@
         """Whatever the reason, the socket stays readable while clients wait: without a pause the loop would
         spin."""
         self.node.telemetry.count(Event.ACCEPT_FAILED, errno=problem.errno)
-        if problem.errno in WANT_OF_DESCRIPTORS:
+        if fault_of(problem) is Fault.DESCRIPTORS or problem.errno in (errno.ENOBUFS, errno.ENOMEM):
             # Without one idle connection less, those that wait would do so until a client leaves.
             self._reclaim_one()
         self._pause()
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import select
 import socket
 from bisect import insort
@@ -16,12 +15,18 @@
 
 import httptools
 
+from driftstair.net.errnos import OWN, Fault, fault_of
 from lichenspring.interface import Result, ServerId
 
 BODY_MOST = 64 << 10  # bytes of an answer
 HEAD_MOST = 16 << 10
 INTERIM_MOST = 16  # 1xx answers ahead of one
 COOL_DOWN = 5_000_000  # ns for which a connection is left alone after an answer: more may be on its way
+REDIAL_PAUSE = 0.0025  # s until a dial that failed for this machine's fault is tried again; doubles
+REDIAL_DOUBLINGS = 4
+REDIAL_PAUSE_MOST = 0.04  # s
+UNREACHABLE_LEAST = 2  # servers in a row that no way leads to: the way is at fault, not they
+PATH_TRIES = 8  # dials, for some 0.25 s
 RECHECK = 0.002  # s until an attempt that has to wait asks for leave again
 LATE = 5_000_000  # ns that a timer may come behind its time before the process counts as held up
 IDLE_PART = 0.9  # of the server's idle limit: what is written to a connection after that limit is lost
@@ -64,7 +69,7 @@
     """One request at one server. It ends once: by `end`, and then its owner hears of it."""
 
     __slots__ = (
-        "_body", "_connection", "_dial", "_dialed", "_head", "_owner", "_timer", "_wait_timer",
+        "_body", "_connection", "_dial", "_dialed", "_head", "_own_faults", "_owner", "_timer", "_wait_timer",
         "_write_timer", "done", "expires", "index", "pool", "request", "server", "since", "write_by",
         "written_at",
     )  # fmt: skip
@@ -89,6 +94,7 @@
         self._dial: asyncio.Task[None] | None = None
         self._dialed: Connection | None = None  # has come up, and waits for leave to be written to
         self._wait_timer: asyncio.TimerHandle | None = None
+        self._own_faults = 0  # dials that failed for this machine's fault
         self._timer: asyncio.TimerHandle | None = None
         self._write_timer: asyncio.TimerHandle | None = None
 
@@ -128,22 +134,41 @@
             raise
         except OSError as problem:
             self._dial = None
-            local = problem.errno in (errno.EMFILE, errno.ENFILE)
-            self.end(Result.NOT_SENT if local else Result.CONNECT_FAILED)
+            self._dial_failed(fault_of(problem))
             return
         finally:
             self.pool.pools.sockets -= 1
         self._dial = None
         self.pool.dialing.pop(self, None)
+        self.pool.pools.unreachable.clear()
         if self.done:  # it ended in the moment in which the connection came up
             connection.close()
         elif connection.closed:
             self.end(Result.CONNECT_FAILED)
         else:
-            if self._timer is not None:
-                self._timer.cancel()
             self._write_dialed(connection)
 
+    def _dial_failed(self, fault: Fault) -> None:
+        """What is this machine's fault passes, and is no reason to try, or to blame, another server."""
+        pools = self.pool.pools
+        if fault is Fault.PATH:
+            pools.unreachable.add(self.pool.address)
+            # One server that nothing reaches is lost; several without one that is reached are cut off alike.
+            if len(pools.unreachable) < min(UNREACHABLE_LEAST, len(pools.servers())):
+                fault = Fault.PEER
+        if fault is Fault.PEER:
+            self.end(Result.CONNECT_FAILED)
+            return
+        self._own_faults += 1
+        if self._own_faults > PATH_TRIES and fault is Fault.PATH:
+            self.end(Result.NOT_SENT)
+            return
+        if fault is Fault.DESCRIPTORS:
+            pools.close_idlest()
+        pause = min(REDIAL_PAUSE_MOST, REDIAL_PAUSE * 2 ** min(self._own_faults, REDIAL_DOUBLINGS))
+        self.since += int(pause * 1e9)  # no time of the server's
+        self._wait_timer = asyncio.get_running_loop().call_later(pause, self._begin)
+
     def _write_dialed(self, connection: Connection) -> None:
         """While it was dialed the client may have left, or the server."""
         self._dialed = connection
@@ -181,6 +206,8 @@
         # The loop counts in whole milliseconds and rounds. Guards against a time-out that comes a little
         # early: the module would find time left, and spend a further attempt that has none on each of the
         # other servers, to each of which it would look like a failure.
+        if self._timer is not None:
+            self._timer.cancel()
         delay = max(0, at - monotonic_ns()) // 1_000_000 + 1
         self._timer = asyncio.get_running_loop().call_later(delay / 1000, self._expire, at)
 
@@ -197,7 +224,10 @@
             self._give_up()
 
     def _give_up(self) -> None:
-        self.end(Result.TIMEOUT if self._is_written() else Result.CONNECT_FAILED)
+        if self._is_written():
+            self.end(Result.TIMEOUT)
+        else:
+            self.end(Result.NOT_SENT if self._own_faults else Result.CONNECT_FAILED)
 
     def _is_written(self) -> bool:
         return self._connection is not None and self._connection.written
@@ -336,7 +366,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.closed = True
         self._pool.lost(self)
-        self._break()
+        if fault_of(exc) in OWN:
+            # No fault of the server's. What was written may have run.
+            self._break(Result.CANCELLED, unwritten=Result.NOT_SENT)
+        else:
+            self._break()
         self._parser = None  # the two hold each other, and would stay until the collector comes
 
     def lost_unseen(self) -> None:
@@ -344,13 +378,13 @@
         if self._transport is not None and not self.closed:
             self.connection_lost(None)
 
-    def _break(self, result: Result = Result.RESET) -> None:
+    def _break(self, result: Result = Result.RESET, unwritten: Result = Result.CONNECT_FAILED) -> None:
         """The connection can't bring the answer any more. An answer that came spoilt is an error: a reset
         would tell of a connection that was lost, and of the others that they may be."""
         attempt = self._attempt
         self._reusable = False
         if attempt is not None:
-            attempt.end(result if self.written else Result.CONNECT_FAILED)
+            attempt.end(result if self.written else unwritten)
         self.close()
 
     # What the parser finds.
@@ -503,6 +537,7 @@
         self.idle_limit = int(idle_close * IDLE_PART)
         self._sockets_most = sockets_most
         self._pools: dict[ServerId, Pool] = {}
+        self.unreachable: set[tuple[str, int]] = set()  # addresses, since a dial last came up
         self.with_idle: dict[Pool, None] = {}  # all with idle connections, and some that had one lately
         self._sweep_every = idle_close * (1 - IDLE_PART) / 2 / 1e9
 
@@ -539,8 +574,10 @@
 
     def room(self) -> bool:
         """Whether one more connection may be opened; closes the longest idle one to make room."""
-        if self.sockets < self._sockets_most:
-            return True
+        return self.sockets < self._sockets_most or self.close_idlest()
+
+    def close_idlest(self) -> bool:
+        """Free the descriptor of the longest idle connection; False if none is idle."""
         idle = [pool for pool in self.with_idle if pool.idle]
         if not idle:
             return False
--- a/lichenspring/balance.py
+++ b/lichenspring/balance.py
@@ -514,7 +514,8 @@
         left = entry.useful_until - now
         if left <= RETRY_LEAST * self._typical(entry) or len(entry.attempts) >= self._settings.max_attempts:
             return False
-        price = 0.0 if result is Result.CONNECT_FAILED else 1.0  # where nothing arrived nothing is added
+        nothing_arrived = result in (Result.CONNECT_FAILED, Result.NOT_SENT)
+        price = 0.0 if nothing_arrived else 1.0
         if self._retry_budget < price or (backend := self._choose(now, entry)) is None:
             return False
         self._retry_budget -= price
@@ -739,6 +740,8 @@
     def _note_connection(self, now: int, attempt: Attempt) -> bool:
         """True if the attempt was lost to a connection that had been dropped unseen. That guards against
         any network that forgets idle connections, by reset or silence; it is no fault of the server."""
+        if attempt.result is Result.NOT_SENT:
+            return False  # no connection was tried, or this machine failed: it tells nothing
         lost = attempt.result in (Result.RESET, Result.TIMEOUT)
         if attempt.result in (Result.OK, Result.ERROR, Result.FULL, Result.REJECTED):
             attempt.backend.idle.append(now)
