Red: servers told more time than the client has left, after a hold and for requests sent ahead

After a hold of 0.4 s servers are told the whole of 2 s; of 60 requests sent at once, the last is told 1.97 s after it has waited for 0.6 s. By the terms it is at most what is left, with 0.15 s of slack.

--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from rig import Discovery, Server, configuration, request, reset, run, status, until
+from rig import Discovery, Message, Rig, Server, answer, configuration, request, reset, run, status, until
 from test_process import program
 
 CLIENTS = 8  # in each hold
@@ -94,3 +94,60 @@
                     await asyncio.sleep(0.05)
 
     run(test())
+
+
+def told_ms(message: Message) -> float:
+    """The time that a server was told an attempt has left."""
+    return int(message.headers["x-deadline"].removesuffix("u")) / 1000
+
+
+def test_a_server_is_told_no_more_time_than_is_left_after_a_hold(tmp_path: Path) -> None:
+    """A request that lay unread counted from when it was read."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            first = await node.client()
+            for turn in range(HOLDS):
+                assert status(await first.ask(request())) == 200
+                clients = [await node.client() for _ in range(CLIENTS)]
+                await asyncio.sleep(0.05 + turn * 0.003)
+                before = len(server.seen)
+                node.process.send_signal(signal.SIGSTOP)
+                clients += [await node.client() for _ in range(3 * CLIENTS)]  # more than one turn accepts
+                for client in clients:
+                    client.writer.write(request(X_Deadline="2000m"))
+                await asyncio.sleep(0.4)
+                node.process.send_signal(signal.SIGCONT)
+                for client in clients:
+                    assert status(await client.read()) == 200
+                    client.writer.close()
+                assert max(told_ms(message) for message in server.seen[before:]) <= 2000 - 400 + 150
+
+    run(test())
+
+
+@pytest.mark.parametrize("count", [2, 60])
+def test_a_server_is_told_no_more_time_than_is_left_for_requests_sent_ahead(count: int) -> None:
+    """Each counted from when the answer to the one before it had gone out."""
+    span = 0.6
+
+    async def slow(_: Message, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(span / (count - 1))
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Server("s-1", slow) as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            padding = "p" * 400  # so that of many the last lie with the kernel while the first are served
+            client.writer.write(request(X_Deadline="2000m", X_Pad=padding))
+            for _ in range(count - 1):
+                client.writer.write(request(X_Deadline="2000m", X_Pad=padding))
+            for _ in range(count):
+                assert status(await client.read()) == 200
+            assert told_ms(server.seen[-1]) <= 2000 - span * 1000 + 150
+            assert told_ms(server.seen[0]) > 1900
+            await asyncio.sleep(0.3)
+            assert status(await client.ask(request(X_Deadline="2000m"))) == 200
+            assert told_ms(server.seen[-1]) > 1900  # it rested meanwhile: nothing of that counts against it
+
+    run(test())
