--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,293 @@
+"""`python -m soak`: runs seeds of the fault soak and prints a line of JSON for each; non-zero on a violation.
+
+A seed decides the troubles, not what the machine's scheduler makes of them: a failing seed is played again to
+see how often it fails, and its logs are kept with --keep.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from soak.clients import Client
+from soak.nodes import NodeProcess
+from soak.oracle import Record, Violation
+from soak.servers import Agent, FaultProxy, Server
+
+MS = 1_000_000  # ns
+SILENCE_TOLD = 6.0  # s after which what a silent watch misses counts as told
+BEAT = 0.005  # s, of the driver, which so measures its own lateness
+ERRNOS = (12, 23, 24, 99, 100, 101, 103, 105, 113)  # ENOMEM to EHOSTUNREACH, as a node's own faults
+ENDS_WITHIN = 30.0  # s after the load
+STEPS_MS = (-3_600_000, -2_000, 2_000, 3_600_000)
+
+
+def request_class(name: str, semantics: str) -> dict[str, Any]:
+    return {
+        "Aim": 1500 * MS, "Deadline": 2500 * MS, "Group": "all", "LateShare": 0.2, "MemorySpan": 1000 * MS,
+        "Name": name, "Semantics": semantics, "Stream": False, "Worth": 1.0,
+    }  # fmt: skip
+
+
+def configuration(nodes: int) -> dict[str, Any]:
+    settings = {
+        "Contract": {
+            "AskWithin": 10_000 * MS, "Cold": 1500 * MS, "ColdShare": 0.4, "StopSendingWithin": 500 * MS,
+            "FallMultiple": 4.0,
+        },
+        "Feedback": {"Fields": [], "How": "none"},
+        "Grades": [request_class("page", "repeatable"), request_class("order", "once")],
+        "Kinds": ["box"], "Zones": ["a", "b"], "Tenants": [], "MembershipMode": "pushed", "MyZone": 0,
+        "Limits": {
+            "DialTimeout": 500 * MS, "IdleClose": 3000 * MS, "MaxRetryAfter": 300 * MS, "OpenCap": 2000,
+            "RetryAfter": True, "SendCap": 3,
+        },
+        "PeersTotal": nodes, "WorthBy": "request",
+    }  # fmt: skip
+    limits = {"cores": 1.0, "memory_mb": 96, "sockets": 256}
+    return {"seed": "8c1f30d27a5be964", "limits": limits, "settings": settings}
+
+
+class Soak:
+    """One seed: nodes, servers and clients, and the troubles that overlap."""
+
+    def __init__(self, seed: int, nodes: int, span: float, folder: Path) -> None:
+        self.record = Record()
+        self.troubles: Counter[str] = Counter()
+        self._random = random.Random(seed)
+        self._span = span
+        self._servers = [Server(f"s-{n}", self.record, seed + n) for n in range(max(6, nodes))]
+        self._proxies = [FaultProxy(server) for server in self._servers]
+        document = configuration(nodes)
+        self._nodes = [NodeProcess(f"n{n}", folder, document, self.record) for n in range(nodes)]
+        self._document = document
+        self._version = 10
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: set[str] = set()  # nodes that are being restarted or reloaded
+        self._offset_ms = 0
+
+    # The list.
+
+    def _entry(self, proxy: FaultProxy) -> dict[str, Any]:
+        server = proxy.server
+        return {
+            "id": server.name, "addr": f"127.0.0.1:{proxy.port}", "zone": "ab"[proxy.port % 2], "kind": "box",
+            "cell": 0, "state": server.state, "weight": 1.0, "started_ms": server.started_ms,
+        }  # fmt: skip
+
+    def _publish(self, proxy: FaultProxy) -> None:
+        self._version += 1
+        for node in self._nodes:
+            for agent in node.agents:
+                self._inform(agent, self._entry(proxy))
+
+    def _inform(self, agent: Agent, *changed: dict[str, Any]) -> None:
+        if not agent.down:
+            whole = [self._entry(proxy) for proxy in self._proxies if proxy.server.state != "Gone"]
+            agent.hold(self._version, whole, list(changed))
+
+    def _told(self, node: NodeProcess, now: float) -> float:
+        """When a change that is published now counts as told to a node."""
+        agent = node.agents[node.agent]
+        at = max(now, node.told_from)
+        if agent.silent_since is not None:
+            at = max(at, agent.silent_since + SILENCE_TOLD)
+        return at
+
+    # The troubles.
+
+    async def _retire(self, proxy: FaultProxy) -> None:
+        """A server drains, is gone, and comes back cold, as the same or after a step of all clocks."""
+        server = proxy.server
+        now = time.monotonic()
+        told = {node.name: self._told(node, now) for node in self._nodes}
+        down = {node.name for node in self._nodes if node.agents[node.agent].down}
+        server.state = "Terminating"
+        self._publish(proxy)
+        await asyncio.sleep(self._random.uniform(1.0, 2.5))
+        server.state = "Gone"
+        self._publish(proxy)
+        await asyncio.sleep(0.7)
+        server.stop_all()
+        until = time.monotonic()
+        for node in self._nodes:
+            if node.name not in down:
+                self.record.gone.append((node.name, server.name, max(told[node.name], node.told_from), until))
+        server.state, server.started_ms = "Ready", time.time_ns() // MS + self._offset_ms
+        self._publish(proxy)
+
+    async def _misbehave(self, proxy: FaultProxy) -> None:
+        proxy.server.behaviour = self._random.choice(Server.behaviours[1:])
+        await asyncio.sleep(self._random.uniform(0.5, 3.0))
+        proxy.server.behaviour = "serve"
+
+    async def _cut(self, proxy: FaultProxy) -> None:
+        proxy.fault = self._random.choice(("silent", "refuse"))
+        await asyncio.sleep(self._random.uniform(0.3, 2.0))
+        proxy.fault = ""
+        proxy.server.stop_all()
+
+    async def _hold(self, node: NodeProcess) -> None:
+        for _ in range(self._random.randrange(1, 4)):
+            await node.hold(self._random.uniform(0.03, 0.4))
+            await asyncio.sleep(self._random.uniform(0.0, 0.2))
+
+    async def _restart(self, node: NodeProcess) -> None:
+        await node.restart(kill=self._random.random() < 0.3)
+
+    async def _reload(self, node: NodeProcess) -> None:
+        await node.reload(half_written=self._random.random() < 0.5)
+
+    async def _fail_calls(self, node: NodeProcess) -> None:
+        field = self._random.choice(("accept_errno", "connect_errno"))
+        node.faults.set(**{field: self._random.choice(ERRNOS)})
+        await asyncio.sleep(self._random.uniform(0.05, 0.5))
+        node.faults.set(**{field: 0})
+
+    async def _step_clocks(self, _: NodeProcess) -> None:
+        self._offset_ms += self._random.choice(STEPS_MS)
+        for node in self._nodes:
+            node.faults.set(wall_offset_ms=self._offset_ms)
+
+    async def _lose_agent(self, node: NodeProcess) -> None:
+        agent = node.agents[node.agent]
+        trouble = self._random.choice(("drop", "silent", "down"))
+        if trouble == "drop":
+            agent.drop()
+        elif trouble == "silent":
+            agent.fall_silent()
+        else:
+            agent.down = True
+            agent.drop()
+            await asyncio.sleep(self._random.uniform(0.5, 2.0))
+            agent.down = False
+            self._inform(agent)
+
+    async def _exclusively(self, node: NodeProcess, what: Callable[[NodeProcess], Awaitable[None]]) -> None:
+        """Some troubles of one node exclude each other, as a platform's own steps do."""
+        if node.name not in self._busy:
+            self._busy.add(node.name)
+            await what(node)
+            self._busy.discard(node.name)
+
+    def _begin_trouble(self) -> None:
+        node = self._random.choice(self._nodes)
+        server = self._random.choice(self._proxies)
+        troubles: list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]] = [
+            ("retire", lambda: self._retire(server)),
+            ("misbehave", lambda: self._misbehave(server)),
+            ("misbehave", lambda: self._misbehave(server)),
+            ("cut", lambda: self._cut(server)),
+            ("hold", lambda: self._hold(node)),
+            ("hold", lambda: self._hold(node)),
+            ("restart", lambda: self._exclusively(node, self._restart)),
+            ("reload", lambda: self._exclusively(node, self._reload)),
+            ("fail_calls", lambda: self._fail_calls(node)),
+            ("fail_calls", lambda: self._fail_calls(node)),
+            ("step_clocks", lambda: self._step_clocks(node)),
+            ("lose_agent", lambda: self._exclusively(node, self._lose_agent)),
+        ]
+        name, trouble = self._random.choice(troubles)
+        if name == "retire" and server.server.state != "Ready":
+            return
+        self.troubles[name] += 1
+        task = asyncio.create_task(trouble())
+        self._tasks.add(task)
+
+    async def _measure_slack(self) -> None:
+        while True:
+            due = time.monotonic() + BEAT
+            await asyncio.sleep(BEAT)
+            self.record.slack = max(self.record.slack, time.monotonic() - due)
+
+    # The run.
+
+    def kill_all(self) -> None:
+        for node in self._nodes:
+            node.kill()
+
+    async def run(self) -> list[Violation]:
+        for server, proxy in zip(self._servers, self._proxies, strict=True):
+            await server.start()
+            await proxy.start()
+        known = [self._entry(proxy) for proxy in self._proxies]
+        self._document["known"] = {"version": 5, "full": True, "servers": known}  # outdated, as time goes on
+        for node in self._nodes:
+            for agent in node.agents:
+                await agent.start()
+                self._inform(agent)
+        await asyncio.gather(*(node.start() for node in self._nodes))
+        beat = asyncio.create_task(self._measure_slack())
+        end = time.monotonic() + self._span
+        clients = [Client(node, self.record, self._random.randrange(1 << 30)) for node in self._nodes * 8]
+        asking = [asyncio.create_task(client.run(end)) for client in clients]
+        while time.monotonic() < end - 4.0:
+            await asyncio.sleep(self._random.uniform(0.05, 0.4))
+            self._begin_trouble()
+        await asyncio.gather(*self._tasks)
+        await asyncio.gather(*asking)
+        await asyncio.gather(*(node.end() for node in self._nodes))
+        beat.cancel()
+        for node in self._nodes:
+            node.read_log()
+        own = [violation for node in self._nodes for violation in node.violations]
+        slow = sum(client.slow_to_bad_clients for client in clients)
+        if slow:
+            own.append(Violation("bad client", "", f"{slow} got neither an error nor a close in time"))
+        return own + list(self.record.violations())
+
+    def report(self) -> dict[str, Any]:
+        statuses = Counter(str(asked.status) for asked in self.record.asked.values() if asked.left is None)
+        return {
+            "requests": len(self.record.asked), "statuses": dict(statuses), "troubles": dict(self.troubles),
+            "attempts": sum(map(len, self.record.attempts.values())), "slack": round(self.record.slack, 3),
+        }  # fmt: skip
+
+
+async def play(seed: int, nodes: int, span: float, folder: Path) -> tuple[dict[str, Any], list[Violation]]:
+    soak = Soak(seed, nodes, span, folder)
+    try:
+        async with asyncio.timeout(span + ENDS_WITHIN):
+            violations = await soak.run()
+    finally:
+        soak.kill_all()
+    return soak.report(), violations
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, nargs=2, default=(1, 3), metavar=("FIRST", "LAST"))
+    parser.add_argument("--nodes", type=int, default=10, help="real node processes (10)")
+    parser.add_argument("--span", type=float, default=20.0, help="seconds of load for each seed (20)")
+    parser.add_argument("--keep", type=Path, help="a folder for the nodes' logs")
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seeds[0], options.seeds[1] + 1):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            report, violations = runner.run(play(seed, options.nodes, options.span, folder))
+        rules = Counter(violation.rule for violation in violations)
+        print(json.dumps({"seed": seed, "violations": dict(rules), **report}), flush=True)
+        for violation in violations[:20]:
+            print(f"  {violation.rule} {violation.request}: {violation.detail}", file=sys.stderr)
+        failed += bool(violations)
+        if options.keep:
+            shutil.copytree(folder, options.keep / str(seed), dirs_exist_ok=True)
+        shutil.rmtree(folder)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/nodes.py
@@ -0,0 +1,161 @@
+"""Real node processes of the soak: how they are started, ended and looked after."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from soak.oracle import Record, Violation
+from soak.servers import Agent
+from soak.shims import ROOT, Faults
+
+READY_WITHIN = 10.0  # s
+LONGEST_DEADLINE = 3.0  # s that the platform waits at least, after SIGTERM
+KILLED_AFTER = LONGEST_DEADLINE + 0.7  # s after SIGTERM
+ENDING_FAULTS = ("Traceback", "invariant violated", "the module failed", "action failed")
+
+
+def free_port() -> int:
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        port: int = one.getsockname()[1]
+        return port
+
+
+class NodeProcess:
+    """One node, under the same name and address through all its restarts."""
+
+    def __init__(self, name: str, folder: Path, document: dict[str, Any], record: Record) -> None:
+        self.name = name
+        self.port = free_port()
+        self.agents = [Agent(), Agent()]
+        self.agent = 0  # which of them its configuration names
+        self.up = False
+        self.told_from = 0.0  # nothing counts as told to it before
+        self.violations: list[Violation] = []
+        self._folder = folder
+        self._document = document
+        self._record = record
+        self._log = folder / f"{name}.log"
+        self._path = folder / f"{name}.json"
+        self.faults = Faults(folder / f"{name}.faults")
+        self._process: asyncio.subprocess.Process | None = None
+
+    def configuration(self) -> str:
+        agent = f"127.0.0.1:{self.agents[self.agent].port}"
+        listen = f"127.0.0.1:{self.port}"
+        return json.dumps(self._document | {"name": self.name, "listen": listen, "discovery": agent})
+
+    async def start(self) -> None:
+        """Returns once `/up` has answered 200; a node that is not ready in time is a violation."""
+        self._path.write_text(self.configuration())
+        self.told_from = time.monotonic()
+        environment = {**os.environ, "BALANCER_CONFIG": str(self._path), "BALANCER_TRACE": "1"}
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self.faults.command(), cwd=ROOT, env=environment, stderr=log,
+                stdout=asyncio.subprocess.DEVNULL,
+            )
+        end = time.monotonic() + READY_WITHIN
+        while time.monotonic() < end and self._process.returncode is None:
+            if await self._answers_up():
+                self.up = True
+                return
+            await asyncio.sleep(0.05)
+        self.violations.append(Violation("crash", self.name, "not ready in time"))
+
+    async def _answers_up(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(b"GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    def send(self, number: signal.Signals) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def restart(self, kill: bool) -> None:
+        """A planned restart, or a kill; down for a moment either way."""
+        process = self._process
+        assert process is not None
+        if kill:
+            self.up = False
+            self._record.killed[self.name].append(time.monotonic())
+            self.send(signal.SIGKILL)
+        else:
+            self.send(signal.SIGTERM)
+            await asyncio.sleep(0.3)  # clients go on coming
+            self.up = False
+        try:
+            await asyncio.wait_for(process.wait(), KILLED_AFTER)
+        except TimeoutError:
+            self.violations.append(Violation("end", self.name, "did not end after SIGTERM"))
+            self.send(signal.SIGKILL)
+            await process.wait()
+        if not kill and process.returncode != 0:
+            self.violations.append(Violation("crash", self.name, f"ended with {process.returncode}"))
+        self.faults.set(accept_errno=0, connect_errno=0)
+        await self.start()
+
+    async def hold(self, span: float) -> None:
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        self.send(signal.SIGCONT)
+
+    async def reload(self, half_written: bool) -> None:
+        """A new configuration moves it to its other agent; the old one ends its watches a little later."""
+        old = self.agents[self.agent]
+        self.agent = 1 - self.agent
+        text = self.configuration()
+        self.told_from = time.monotonic() + 4.0
+        if half_written:
+            self._path.write_text(text[: len(text) // 2])
+        else:
+            self._path.write_text(text)
+        self.send(signal.SIGHUP)
+        if half_written:
+            await asyncio.sleep(0.2)
+            self._path.write_text(text)
+        await asyncio.sleep(1.5)
+        old.drop()
+
+    def kill(self) -> None:
+        """Whatever happens to the driver, no process is left."""
+        with suppress(ProcessLookupError):
+            self.send(signal.SIGKILL)
+
+    async def end(self) -> None:
+        process = self._process
+        if process is None:
+            return
+        if process.returncode is not None:
+            self.violations.append(Violation("crash", self.name, f"found ended with {process.returncode}"))
+            return
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.wait(), KILLED_AFTER)
+        except TimeoutError:
+            self.violations.append(Violation("end", self.name, "did not end after SIGTERM"))
+            self.send(signal.SIGKILL)
+            await process.wait()
+
+    def read_log(self) -> None:
+        """What the node itself said: the requests that it has read, and faults of its own."""
+        for line in self._log.read_text(errors="replace").splitlines():
+            if '"event": "request_taken"' in line:
+                identity = json.loads(line[line.index("{") :])["id"]
+                self._record.taken.add(identity.removeprefix("b'").removesuffix("'"))
+            elif any(fault in line for fault in ENDING_FAULTS):
+                self.violations.append(Violation("fault", self.name, line[:300]))
--- /dev/null
+++ b/soak/servers.py
@@ -0,0 +1,215 @@
+"""Servers behind a fault proxy, and agents that tell nodes of them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import time
+from contextlib import suppress
+from typing import Any
+
+from soak.oracle import Attempt, Record
+
+CHUNK = 1 << 16
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset, if it has not ended."""
+    if writer.get_extra_info("socket") is None:
+        return
+    with suppress(OSError, RuntimeError):
+        own = writer.get_extra_info("socket")
+        own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+    writer.transport.abort()
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, dict[bytes, bytes], bytes]:
+    """First line, headers by their lower names, and body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.rstrip().split(b"\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (line.partition(b":") for line in lines)}
+    return first, headers, await reader.readexactly(int(headers.get(b"content-length", 0)))
+
+
+class Server:
+    """Answers requests, as its behaviour tells, and records each that has arrived whole."""
+
+    behaviours = ("serve", "slow", "hang", "refuse", "reset", "no_length", "cut", "garbage", "close", "error")
+
+    def __init__(self, name: str, record: Record, seed: int) -> None:
+        self.name = name
+        self.behaviour = "serve"
+        self.state = "Ready"
+        self.started_ms = 0
+        self.port = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self._record = record
+        self._random = random.Random(seed)
+        self._made = 0
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        attempt = None
+        try:
+            while True:
+                first, headers, _ = await read_message(reader)
+                told = int(headers[b"x-deadline"].removesuffix(b"u")) / 1e6
+                attempt = Attempt(self.name, time.monotonic(), told)
+                identity = headers[b"x-request-id"].decode()
+                self._record.attempts[identity].append(attempt)
+                if not await self._answer(identity, attempt, reader, writer):
+                    break
+                attempt.ended = time.monotonic()
+        except (asyncio.IncompleteReadError, OSError, RuntimeError):
+            pass
+        finally:
+            if attempt is not None and attempt.ended is None:
+                attempt.ended = time.monotonic()
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, identity: str, attempt: Attempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """False where the connection ends behind the answer."""
+        self._made += 1
+        body = f"{self.name} {self._made} for {identity}".encode()
+        self._record.made[body] = identity
+        behaviour = self.behaviour if self._random.random() < 0.7 else "serve"
+        await asyncio.sleep(self._random.uniform(0.002, 0.02))
+        if behaviour == "slow":
+            await asyncio.sleep(self._random.uniform(0.1, 0.5))
+        elif behaviour == "hang":
+            await reader.read(1)  # until the node gives up
+            return False
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        unframed = b"HTTP/1.1 200 OK\r\n\r\n" + body
+        if behaviour == "refuse":
+            attempt.ran = False
+            writer.write(b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        elif behaviour == "error":
+            writer.write(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+        elif behaviour == "reset":
+            reset(writer)
+            return False
+        elif behaviour == "garbage":
+            writer.write(b"HTTP/1.1 20\x00 ?\r\n\r\n")
+        elif behaviour == "no_length":
+            writer.write(unframed)
+            return False
+        elif behaviour == "cut":
+            writer.write(self._random.choice((whole, unframed))[: -self._random.randrange(1, 20)])
+            await writer.drain()
+            await asyncio.sleep(0.005)
+            reset(writer)
+            return False
+        elif behaviour == "close":
+            writer.write(whole)
+            await asyncio.sleep(self._random.uniform(0.0, 0.02))
+            return False
+        else:
+            writer.write(whole)
+        return True
+
+    def stop_all(self) -> None:
+        """Reset all its connections, as when its process dies."""
+        for writer in list(self.writers):
+            reset(writer)
+
+
+class FaultProxy:
+    """Stands before a server and carries bytes both ways, or not: `silent` swallows what the server says,
+    `refuse` resets new connections. Towards the server nothing is delayed, so its times are right."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.fault = ""
+        self.port = 0
+
+    async def start(self) -> None:
+        listening = await asyncio.start_server(self._carry, "127.0.0.1", 0)
+        self.port = listening.sockets[0].getsockname()[1]
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.fault == "refuse":
+            reset(writer)
+            return
+        back, forth = await asyncio.open_connection("127.0.0.1", self.server.port)
+        pumps = [
+            asyncio.create_task(self._pump(reader, forth, False)),
+            asyncio.create_task(self._pump(back, writer, True)),
+        ]
+        await asyncio.wait(pumps)
+
+    async def _pump(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, answers: bool) -> None:
+        try:
+            while data := await source.read(CHUNK):
+                if not (answers and self.fault == "silent"):
+                    sink.write(data)
+                    await sink.drain()
+            sink.close()
+        except (OSError, RuntimeError):
+            reset(sink)
+
+
+class Agent:
+    """Tells one node of the servers; one address of the two that the node's configurations name."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.version = 10
+        self.down = False
+        self.silent_since: float | None = None  # open watches get nothing; new ones do
+        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self._whole: list[dict[str, Any]] = []
+        self._watches: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def hold(self, version: int, entries: list[dict[str, Any]], changed: list[dict[str, Any]]) -> None:
+        """What it knows from now on."""
+        self.version, self._whole = version, entries
+        for writer in self._watches - self._silent:
+            self._line(writer, {"version": version, "full": False, "servers": changed})
+
+    def _line(self, writer: asyncio.StreamWriter, document: dict[str, Any] | None) -> None:
+        text = (json.dumps(document).encode() if document else b"") + b"\n"
+        with suppress(OSError, RuntimeError):  # the transport may be closed by now
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+
+    def fall_silent(self) -> None:
+        self.silent_since = time.monotonic()
+        self._silent |= self._watches
+
+    def drop(self) -> None:
+        for writer in list(self._watches):
+            reset(writer)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await read_message(reader)
+            while self.down:
+                await asyncio.sleep(0.02)
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self._line(writer, {"version": self.version, "full": True, "servers": self._whole})
+            self._watches.add(writer)
+            self.silent_since = None
+            while not writer.is_closing():
+                await asyncio.sleep(2.0)
+                if writer not in self._silent:
+                    self._line(writer, None)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self._watches.discard(writer)
+            self._silent.discard(writer)
+            writer.close()
--- a/tests/faults.py
+++ b/soak/shims.py
@@ -1,8 +1,8 @@
 """Runs the node's real program with a wall clock and system calls that fail on command.
 
-As a program (`python faults.py CONTROL`) it is the node, its module `time`, listening socket and event loop
-replaced by ones that look into the control file before each call. A test holds a `Faults` on the same file
-and sets what they find there. It needs no compiler; the monotonic clock is left alone.
+As a program (`python soak/shims.py CONTROL`) it is the node, its module `time`, listening socket and event
+loop replaced by ones that look into the control file before each call. A test holds a `Faults` on the same
+file and sets what they find there. It needs no compiler; the monotonic clock is left alone.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
             self._memory = mmap.mmap(file.fileno(), LAYOUT.size)
 
     def get(self, field: str) -> int:
-        return LAYOUT.unpack_from(self._memory)[FIELDS.index(field)]
+        return int(LAYOUT.unpack_from(self._memory)[FIELDS.index(field)])
 
     def set(self, **values: int) -> None:
         for field, value in values.items():
@@ -66,7 +66,7 @@
             return await super().create_connection(*arguments, **options)
 
     socket.socket = FaultySocket  # type: ignore[misc]
-    uvloop.new_event_loop = FaultyLoop  # type: ignore[assignment]
+    uvloop.new_event_loop = FaultyLoop
 
 
 def main() -> int:
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -11,10 +11,11 @@
 from typing import Any
 
 import pytest
-from faults import Faults
 from rig import Discovery, Server, configuration, request, run, status, until
 from test_process import Program, program
 
+from soak.shims import Faults
+
 HOUR_MS = 3_600_000
 COLD_TIME = 1.0  # s, as the settings of the rig tell; servers start at half of their work
 PACE = 0.005  # s between two requests
--- a/tests/test_own_faults.py
+++ b/tests/test_own_faults.py
@@ -9,10 +9,11 @@
 from pathlib import Path
 
 import pytest
-from faults import Faults
 from rig import Client, Server, answer, configuration, request, run, says, status, until
 from test_process import Program, program
 
+from soak.shims import Faults
+
 ACCEPT_FAILURES = ("ECONNABORTED", "EPROTO", "ENETDOWN", "EMFILE", "ENFILE", "ENOBUFS", "EPERM")
 
 
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,73 @@
+"""The oracle of the fault soak tells each broken rule, and a short soak of real processes breaks none."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+from test_process import ROOT
+
+from soak.oracle import Asked, Attempt, Record
+
+
+def record(asked: Asked, *attempts: Attempt) -> Record:
+    seen = Record(asked={asked.identity: asked})
+    seen.attempts[asked.identity] += attempts
+    seen.made[b"made"] = asked.identity
+    return seen
+
+
+def asked(**changes: object) -> Asked:
+    one = Asked("id", "n0", True, 10.0, 1.0, status=200, body=b"made", answered=10.2)
+    for name, value in changes.items():
+        setattr(one, name, value)
+    return one
+
+
+def attempt(at: float = 10.05, told: float = 0.9, ran: bool = True, ended: float | None = 10.1) -> Attempt:
+    return Attempt("s-1", at, told, ran, ended)
+
+
+@pytest.mark.parametrize(
+    ("what", "attempts", "rules"),
+    [
+        (asked(), [attempt()], set()),
+        (asked(answered=11.4), [attempt()], set()),  # late, and no more than that
+        (asked(answered=11.6), [attempt()], {"lost"}),
+        (asked(status=None), [attempt()], {"lost"}),
+        (asked(status=None, closed=10.3), [attempt()], {"lost"}),
+        (asked(status=None, closed=10.3), [], set()),  # it was not read
+        (asked(body=b"another's"), [attempt()], {"lost"}),
+        (asked(status=503), [attempt()], {"duplicate"}),
+        (asked(status=503), [attempt(ran=False)], set()),
+        (asked(), [attempt(), attempt(at=10.2)], {"duplicate"}),
+        (asked(once=False), [attempt(), attempt(at=10.2, told=0.7)], set()),
+        (asked(once=False), [attempt(ended=10.5), attempt(at=10.2, told=0.7)], {"duplicate"}),
+        (asked(left=10.0), [attempt(at=10.09)], set()),
+        (asked(left=10.0), [attempt(at=10.12)], {"lost"}),
+        (asked(), [attempt(told=1.11)], {"deadline"}),
+    ],
+)
+def test_each_rule_that_is_broken_is_told(what: Asked, attempts: list[Attempt], rules: set[str]) -> None:
+    assert {violation.rule for violation in record(what, *attempts).violations()} == rules
+
+
+def test_a_send_after_the_grace_of_a_drain_is_told() -> None:
+    for told, rules in ((9.6, set()), (9.4, {"drain"})):
+        seen = record(asked(), attempt())
+        seen.gone.append(("n0", "s-1", told, 12.0))
+        assert {violation.rule for violation in seen.violations()} == rules
+
+
+def test_a_node_that_was_killed_owes_nothing_for_what_it_held() -> None:
+    seen = record(asked(status=None), attempt())
+    seen.killed["n0"].append(10.5)
+    assert not list(seen.violations())
+
+
+def test_a_short_soak_of_real_processes_breaks_no_rule() -> None:
+    command = [sys.executable, "-m", "soak", "--seeds", "7", "7", "--nodes", "3", "--span", "8"]
+    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=80, check=False)
+    assert run.returncode == 0, run.stdout + run.stderr
+    assert '"violations": {}' in run.stdout
