--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -256,7 +256,14 @@
         }  # fmt: skip
 
 
+def _tell_of_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Handlers that are cancelled as the run ends are no faults."""
+    if not isinstance(context.get("exception"), asyncio.CancelledError):
+        loop.default_exception_handler(context)
+
+
 async def play(seed: int, nodes: int, span: float, folder: Path) -> tuple[dict[str, Any], list[Violation]]:
+    asyncio.get_running_loop().set_exception_handler(_tell_of_fault)
     soak = Soak(seed, nodes, span, folder)
     try:
         async with asyncio.timeout(span + ENDS_WITHIN):
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import secrets
 import signal
 import socket
 import time
@@ -16,6 +17,7 @@
 from soak.servers import Agent
 from soak.shims import ROOT, Faults
 
+LISTEN_PORTS = range(15_000, 30_000)  # below those that Linux gives to connections
 READY_WITHIN = 10.0  # s
 LONGEST_DEADLINE = 3.0  # s that the platform waits at least, after SIGTERM
 KILLED_AFTER = LONGEST_DEADLINE + 0.7  # s after SIGTERM
@@ -23,10 +25,12 @@
 
 
 def free_port() -> int:
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        port: int = one.getsockname()[1]
-        return port
+    """One that no connection is given for its own end: a node keeps it while it is down."""
+    while True:
+        port = secrets.randbelow(LISTEN_PORTS.stop - LISTEN_PORTS.start) + LISTEN_PORTS.start
+        with socket.socket() as one, suppress(OSError):
+            one.bind(("127.0.0.1", port))
+            return port
 
 
 class NodeProcess:
