Ask the kernel for the age of a first request that waited in a full table's queue

Seen on reading back: with a table full for 0.7 s a client that had waited for 0.1 s, with 0.4 s left, got 504. Cause: took the begin of the queue for the age of each first request that was accepted from it. Change: the age of the newest bytes by TCP_INFO (tcpi_last_data_recv), bounded by the queue's begin; where the kernel does not tell, the bound alone.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -7,6 +7,7 @@
 import logging
 import select
 import socket
+import sys
 from contextlib import suppress
 from http import HTTPStatus
 from time import monotonic_ns
@@ -41,6 +42,8 @@
 END_LOOK = 0.05  # s until the next look for the end of a client from which nothing is read
 SLOW_READER = 10.0  # s in which the answer to a request with no deadline must be taken
 DRAIN_LOOK = 0.02  # s
+MS = 1_000_000  # ns
+LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: a u32, in ms
 
 NUMBERED = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
 
@@ -285,6 +288,17 @@
     return bool(poll.poll(0))
 
 
+def _unread_age(own: socket.socket) -> int | None:
+    """Since when, in ns, the newest bytes lie with the kernel (tcpi_last_data_recv of tcp(7)); None where it
+    does not tell."""
+    try:
+        found = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.stop)
+    except OSError:
+        return None
+    milliseconds = int.from_bytes(found[LAST_DATA_RECEIVED], sys.byteorder)
+    return milliseconds * MS if len(found) == LAST_DATA_RECEIVED.stop else None
+
+
 class ClientConnection(asyncio.Protocol):
     """One client's connection; its requests are served one after the other."""
 
@@ -311,8 +325,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         transport.set_write_buffer_limits(high=0)  # to be told when an answer's last byte is out
-        if monotonic_ns() - self._unread_since < HOLD_LEAST or not self._shows(select.POLLIN):
+        now = monotonic_ns()
+        if now - self._unread_since < HOLD_LEAST or not self._shows(select.POLLIN):
             self._unread_since = 0
+        else:
+            # The queue may have been there for long, and this client not.
+            age = _unread_age(transport.get_extra_info("socket"))
+            if age is not None:
+                self._unread_since = max(self._unread_since, now - age)
         self._end_poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         self._front.came(self)
 
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -152,3 +152,33 @@
             assert told_ms(server.seen[-1]) > 1900  # it rested meanwhile: nothing of that counts against it
 
     run(test())
+
+
+def test_a_client_that_waits_briefly_behind_a_long_queue_keeps_its_time() -> None:
+    """Each first request counted as old as the queue of a full table, and was failed before its time."""
+    release = asyncio.Event()
+
+    async def waits(_: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(answer())
+
+    async def test() -> None:
+        async with Server("s-1", waits) as server, Rig(configuration(server)) as rig:
+            rig.front._most = 1
+            stays = await rig.client()
+            stays.writer.write(request())
+            await until(lambda: server.seen)
+            early = await rig.client()
+            early.writer.write(request(X_Deadline="2000m"))
+            await asyncio.sleep(0.6)
+            late = await rig.client()
+            late.writer.write(request(X_Deadline="400m"))
+            await asyncio.sleep(0.1)
+            rig.front._most = 9
+            release.set()
+            assert [status(await client.read()) for client in (stays, early, late)] == [200, 200, 200]
+            told = sorted(told_ms(message) for message in server.seen[1:])
+            assert 150 < told[0] <= 400 - 100 + 150
+            assert 1100 < told[1] <= 2000 - 700 + 150
+
+    run(test())
