--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -20,7 +20,7 @@
 def test_first_line_changes_and_whole_lists_are_told_in_order() -> None:
     async def test() -> None:
         async with (
-            Discovery() as source, Server("s-1") as one, Server("s-2") as two,
+            Discovery() as source, Server("s-1") as one, Server("s-2") as two, Server("s-3") as older,
             Rig(configuration(one, discovery=source.address)) as rig,
         ):
             assert [len(told.servers) for told in rig.spy.lists(ListKind.CACHED)] == [1]
@@ -29,13 +29,15 @@
             assert source.targets == ["GET /discovery/hosts?watch=1&from=7 HTTP/1.1"]
             two.started_ms = 1_700_000_000_000
             source.push_bytes(b"\n")
-            source.push(9, two)
+            older.started_ms = two.started_ms - 5000
+            source.push(9, two, older)
             await until(lambda: rig.spy.lists(ListKind.DELTA))
-            (server,) = rig.spy.lists(ListKind.DELTA)[0].servers
+            server, other = rig.spy.lists(ListKind.DELTA)[0].servers
             assert (server.id, server.state) == (digest("s-2"), ServerState.READY)
             age = asyncio.get_running_loop().time() * 1e9 - server.started
             assert 0 <= age < 1e9  # the newest start of the first list is now, whatever the wall clock says
-            assert rig.node._ready == {digest("s-1"), digest("s-2")}
+            assert server.started - other.started == 5 * 10**9
+            assert rig.node._ready == {digest("s-1"), digest("s-2"), digest("s-3")}
             source.push(12, two, full=True)
             await until(lambda: rig.spy.lists(ListKind.FULL))
             assert rig.node._ready == {digest("s-2")}
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -10,6 +10,16 @@
 from conftest import read_known_red
 
 CONFTEST = Path(__file__).parent / "conftest.py"
+TESTS = """
+import pytest
+
+@pytest.mark.parametrize("case", [0, 1])
+def test_red(case):
+    {body}
+
+def test_other():
+    pass
+"""
 
 
 @pytest.mark.parametrize("text", ["test", "a | b", "a | b |  ", "a | b | c\n" * 2 + "d | e | f | g"])
@@ -29,12 +39,20 @@
         read_known_red(path)
 
 
-@pytest.mark.parametrize(("body", "green"), [("assert False", True), ("assert True", False)])
+@pytest.mark.parametrize(
+    ("body", "green"),
+    [
+        ("assert case is None", True),
+        ("assert case", False),  # one of its cases passes
+        ("assert True", False),
+        ("raise RuntimeError", False),  # it breaks, and shows nothing
+    ],
+)
 def test_only_a_listed_test_that_fails_lets_the_run_pass(body: str, green: bool, tmp_path: Path) -> None:
     tests = tmp_path / "tests"
     tests.mkdir()
     (tests / "conftest.py").write_text(CONFTEST.read_text())
-    (tests / "test_it.py").write_text(f"def test_red():\n    {body}\n\n\ndef test_other():\n    pass\n")
+    (tests / "test_it.py").write_text(TESTS.format(body=body))
     (tmp_path / "KNOWN-RED.txt").write_text("tests/test_it.py::test_red | a cause | an issue\n")
     command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "tests"]
     run = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, check=False)
