--- a/driftstair/starts.py
+++ b/driftstair/starts.py
@@ -43,7 +43,7 @@
     def learn(self, hosts: Iterable[Host], now: int) -> None:
         """Entries that are about to be translated, `now` in monotonic ns."""
         hosts = [host for host in hosts if host.started_ms and host.state is not ServerState.GONE]
-        self._newest_ms = max((host.started_ms for host in hosts), default=self._newest_ms)
+        self._newest_ms = max([self._newest_ms, *(host.started_ms for host in hosts)])
         for host in hosts:
             held = self._starts.get(host.id)
             if held is None or held.figure_ms != host.started_ms:
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -28,6 +28,7 @@
 def test_what_the_configuration_named_keeps_its_start_as_the_agents_list_comes() -> None:
     times = StartTimes()
     learnt(times, NOW, host("a", FIGURE))
+    assert learnt(times, NOW + 5, host("d", FIGURE - 4000)) == [NOW + 5 - 4000 * MS]  # beside what is known
     hosts = [host("a", FIGURE), host("b", FIGURE + 2000), host("c", FIGURE - 1000)]
     assert learnt(times, NOW + 7, *hosts) == [NOW, NOW + 7, NOW + 7 - 3000 * MS]
 
