Count every reason that telemetry names, and ask for leave in one place

Seen on reading back: seven reasons were named and never counted (clients closed or reclaimed, dials failed, attempts too late); the guard's answer was acted on in two places alike, and so were a node's end in the soak and a bed of a test; a frozen dataclass was made for each write. Behaviour stays.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -150,6 +150,7 @@
         against those that connect by hundreds: first go the rejected ones, then those that never asked."""
         for connection in self._lingering:
             del self._lingering[connection]
+            self.node.telemetry.count(Event.CLIENT_RECLAIMED)
             connection.abort()
             return True
         before = self._loop.time() - RECLAIM_AFTER
@@ -159,6 +160,7 @@
                     break
                 if connection.close_if_quiet():
                     del table[connection]
+                    self.node.telemetry.count(Event.CLIENT_RECLAIMED)
                     return True
             if table is self._new and len(table) + len(self._tasks) > CROWD_PART * self._most:
                 break  # so many come at once that some will have stayed silent in a moment
@@ -176,7 +178,7 @@
             (self._lingering, LINGER, ClientConnection.abort),
             (self._new, NEW_MOST, ClientConnection.time_out),
             (self._reading, SLOW_REQUEST, ClientConnection.time_out),
-            (self._idle, IDLE_MOST, ClientConnection.close_if_quiet),
+            (self._idle, IDLE_MOST, ClientConnection.time_out),
         ):
             late = []
             for connection, since in table.items():
@@ -214,6 +216,7 @@
             if since > before or not first.close_if_quiet():
                 break
             del self._idle[first]
+            self.node.telemetry.count(Event.CLIENT_RECLAIMED)
 
     def reads(self, connection: ClientConnection) -> None:
         """A part of a request has come. A new connection's time goes on from when it connected."""
@@ -393,11 +396,13 @@
 
     def time_out(self) -> None:
         """The limit of the front: a client that has sent a part is told, one that has not is not."""
+        telemetry = self._front.node.telemetry
         if self._reader.is_partial():
+            telemetry.count(Event.CLIENT_TIMED_OUT)
             self._reader.error = 408
             self._next()
-        else:
-            self.close_if_quiet()
+        elif self.close_if_quiet():
+            telemetry.count(Event.CLIENT_CLOSED_IDLE)
 
     # Requests in turn.
 
--- a/driftstair/net/invariants.py
+++ b/driftstair/net/invariants.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from lichenspring.interface import Repeat
 
@@ -16,8 +16,7 @@
 DEADLINE_SLACK = 150 * MS  # by so much the time that a server is told may exceed what the client has left
 
 
-@dataclass(slots=True, frozen=True)
-class Write:
+class Write(NamedTuple):
     """The facts of one attempt as its last byte is written. Spans in ns."""
 
     repeat: Repeat
--- a/driftstair/net/node.py
+++ b/driftstair/net/node.py
@@ -352,29 +352,26 @@
         if request is None or request.answered:
             return Permit.STOP
         if attempt.pool.retired:
-            self.telemetry.count(
-                Event.ATTEMPT_STOPPED_SERVER_LEFT, request=request.number, attempt=attempt.index
-            )
+            self.note(attempt, Event.ATTEMPT_STOPPED_SERVER_LEFT)
             return Permit.STOP
         if self.holds.is_settling():
             # News of the list may lie beside the requests, and be older than the grace of a drain.
-            self.telemetry.count(Event.ATTEMPT_HELD_FOR_NEWS, request=request.number, attempt=attempt.index)
+            self.note(attempt, Event.ATTEMPT_HELD_FOR_NEWS)
             return Permit.WAIT
         if request.left_at or request.call.client.has_left():
-            self.telemetry.count(
-                Event.ATTEMPT_STOPPED_CLIENT_LEFT, request=request.number, attempt=attempt.index
-            )
+            self.note(attempt, Event.ATTEMPT_STOPPED_CLIENT_LEFT)
             self.client_ends(request.number)
             return Permit.STOP
         return Permit.WRITE
 
+    def note(self, attempt: Attempt, event: Event) -> None:
+        self.telemetry.count(event, request=attempt.request, attempt=attempt.index, server=attempt.server)
+
     def written(self, attempt: Attempt, told: int) -> None:
         """Checks what the guards are for, as the last byte is on its way."""
         request = self._open.get(attempt.request)
         assert request is not None  # it has this attempt out
-        self.telemetry.count(
-            Event.ATTEMPT_WRITTEN, request=request.number, attempt=attempt.index, server=attempt.server
-        )
+        self.note(attempt, Event.ATTEMPT_WRITTEN)
         if attempt.index:
             self.telemetry.count(Event.ATTEMPT_REPEATED)
         now = monotonic_ns()
--- a/driftstair/net/upstream.py
+++ b/driftstair/net/upstream.py
@@ -6,7 +6,7 @@
 import select
 import socket
 from bisect import insort
-from collections.abc import KeysView
+from collections.abc import Callable, KeysView
 from contextlib import suppress
 from enum import Enum
 from http import HTTPStatus
@@ -16,6 +16,7 @@
 import httptools
 
 from driftstair.net.errnos import OWN, Fault, fault_of
+from driftstair.telemetry import Event
 from lichenspring.interface import Result, ServerId
 
 BODY_MOST = 64 << 10  # bytes of an answer
@@ -59,6 +60,9 @@
 
     def permit(self, attempt: Attempt) -> Permit: ...
 
+    def note(self, attempt: Attempt, event: Event) -> None:
+        """Why it goes no further, or on."""
+
     def written(self, attempt: Attempt, told: int) -> None:
         """Its last byte is with the kernel, or soon will be; the server was told of `told` ns."""
 
@@ -107,14 +111,9 @@
     def _begin(self) -> None:
         """Write on a connection that is idle, or dial one. Neither without leave: the client may have left
         since the request was read, and a dial costs its server as well."""
-        permit = self._owner.permit(self)
-        if self.done:
+        if not self._has_leave(self._begin):
             return
-        if permit is Permit.STOP:
-            self.end(Result.NOT_SENT)
-        elif permit is Permit.WAIT:
-            self._wait_timer = asyncio.get_running_loop().call_later(RECHECK, self._begin)
-        elif (connection := self.pool.take()) is not None:
+        if (connection := self.pool.take()) is not None:
             self._write(connection)
         elif not self.pool.pools.room():
             # The node's own want of descriptors is no failure of the server.
@@ -124,6 +123,15 @@
             self._expires_at(min(self.expires, monotonic_ns() + self.pool.pools.dial_timeout))
             self._dial = asyncio.get_running_loop().create_task(self._connect())
 
+    def _has_leave(self, again: Callable[[], None]) -> bool:
+        """Whether its owner lets it go on now; if it has to wait, `again` is called soon."""
+        permit = self._owner.permit(self)
+        if permit is Permit.STOP:
+            self.end(Result.NOT_SENT)
+        elif permit is Permit.WAIT:
+            self._wait_timer = asyncio.get_running_loop().call_later(RECHECK, again)
+        return permit is Permit.WRITE
+
     async def _connect(self) -> None:
         connection = Connection(self.pool)
         self.pool.pools.sockets += 1  # while it is dialed; an open connection counts itself
@@ -146,7 +154,8 @@
         elif connection.closed:
             self.end(Result.CONNECT_FAILED)
         else:
-            self._write_dialed(connection)
+            self._dialed = connection
+            self._write_dialed()
 
     def _dial_failed(self, fault: Fault) -> None:
         """What is this machine's fault passes, and is no reason to try, or to blame, another server."""
@@ -157,8 +166,10 @@
             if len(pools.unreachable) < min(UNREACHABLE_LEAST, len(pools.servers())):
                 fault = Fault.PEER
         if fault is Fault.PEER:
+            self._owner.note(self, Event.DIAL_FAILED)
             self.end(Result.CONNECT_FAILED)
             return
+        self._owner.note(self, Event.DIAL_FAILED_LOCALLY)
         self._own_faults += 1
         if self._own_faults > PATH_TRIES and fault is Fault.PATH:
             self.end(Result.NOT_SENT)
@@ -169,20 +180,11 @@
         self.since += int(pause * 1e9)  # no time of the server's
         self._wait_timer = asyncio.get_running_loop().call_later(pause, self._begin)
 
-    def _write_dialed(self, connection: Connection) -> None:
+    def _write_dialed(self) -> None:
         """While it was dialed the client may have left, or the server."""
-        self._dialed = connection
-        permit = self._owner.permit(self)
-        if self.done:
-            return
-        if permit is Permit.STOP:
-            self.end(Result.NOT_SENT)
-        elif permit is Permit.WAIT:
-            self._wait_timer = asyncio.get_running_loop().call_later(
-                RECHECK, self._write_dialed, connection
-            )
-        else:
-            self._dialed = None
+        if self._has_leave(self._write_dialed):
+            connection, self._dialed = self._dialed, None
+            assert connection is not None
             self._write(connection)
 
     def _write(self, connection: Connection) -> None:
@@ -193,6 +195,7 @@
         left = self.expires - now
         too_late_to_write = 0 < self.write_by <= now
         if left <= 0 or too_late_to_write:
+            self._owner.note(self, Event.ATTEMPT_STOPPED_TOO_LATE)
             self.pool.put_back(connection)
             # That the time to write it was short is no failure of the server.
             self.end(Result.NOT_SENT if too_late_to_write else Result.CONNECT_FAILED)
--- a/driftstair/telemetry.py
+++ b/driftstair/telemetry.py
@@ -28,7 +28,7 @@
     REQUEST_OVERDUE = "request_overdue"  # nobody had answered it at its deadline
     CLIENT_LEFT = "client_left"  # before its answer; found by the loop or by the guard
     CLIENT_TIMED_OUT = "client_timed_out"  # stopped in the midst of a request
-    CLIENT_CLOSED_IDLE = "client_closed_idle"
+    CLIENT_CLOSED_IDLE = "client_closed_idle"  # had asked nothing, or nothing more, for too long
     CLIENT_RECLAIMED = "client_reclaimed"  # closed to make room for another
     ACCEPT_FAILED = "accept_failed"
     ATTEMPT_WRITTEN = "attempt_written"
@@ -41,7 +41,6 @@
     DIAL_FAILED_LOCALLY = "dial_failed_locally"  # a fault of this machine
     DIAL_FAILED = "dial_failed"
     LOOP_HELD = "loop_held"
-    WATCH_OPENED = "watch_opened"
     WATCH_FAILED = "watch_failed"
     RELOAD_APPLIED = "reload_applied"
     RELOAD_RETRIED = "reload_retried"  # the file could not be used yet
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -101,12 +101,7 @@
             self.send(signal.SIGTERM)
             await asyncio.sleep(0.3)  # clients go on coming
             self.up = False
-        try:
-            await asyncio.wait_for(process.wait(), KILLED_AFTER)
-        except TimeoutError:
-            self.violations.append(Violation("end", self.name, "did not end after SIGTERM"))
-            self.send(signal.SIGKILL)
-            await process.wait()
+        await self._wait_for_end(process)
         if not kill and process.returncode != 0:
             self.violations.append(Violation("crash", self.name, f"ended with {process.returncode}"))
         self.faults.set(accept_errno=0, connect_errno=0)
@@ -148,6 +143,10 @@
             return
         self.send(signal.SIGCONT)
         self.send(signal.SIGTERM)
+        await self._wait_for_end(process)
+
+    async def _wait_for_end(self, process: asyncio.subprocess.Process) -> None:
+        """As long as the platform does; then it is killed, which is a violation."""
         try:
             await asyncio.wait_for(process.wait(), KILLED_AFTER)
         except TimeoutError:
--- a/tests/test_own_faults.py
+++ b/tests/test_own_faults.py
@@ -5,7 +5,8 @@
 import asyncio
 import errno
 from collections import Counter
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -63,17 +64,23 @@
     return Counter(await asyncio.gather(*(ask(number) for number in range(int(span / pace)))))
 
 
+@asynccontextmanager
+async def bed(folder: Path) -> AsyncIterator[tuple[Faults, list[Server], Program]]:
+    """A node whose calls fail on command, before four servers."""
+    faults = Faults(folder / "faults")
+    async with AsyncExitStack() as stack:
+        servers = [await stack.enter_async_context(Server(f"s-{n}", ONCE)) for n in range(4)]
+        started = program(configuration(*servers), folder, command=faults.command())
+        yield faults, servers, await stack.enter_async_context(started)
+
+
 @pytest.mark.parametrize("name", CONNECT_FAILURES)
 def test_dials_that_fail_on_this_machine_wait_and_blame_no_server(name: str, tmp_path: Path) -> None:
     """Each was put down to its server, or spent the retries on the spot: requests were refused though there
     was time left."""
 
     async def test() -> None:
-        faults = Faults(tmp_path / "faults")
-        async with AsyncExitStack() as stack:
-            servers = [await stack.enter_async_context(Server(f"s-{n}", ONCE)) for n in range(4)]
-            document = configuration(*servers)
-            node = await stack.enter_async_context(program(document, tmp_path, command=faults.command()))
+        async with bed(tmp_path) as (faults, servers, node):
             assert (await ask_steadily(node, 1.2, 0.005)).keys() == {200}  # the breaker has its measure
             load = asyncio.create_task(ask_steadily(node, 1.0, 0.005))
             await asyncio.sleep(0.2)
@@ -92,11 +99,7 @@
 @pytest.mark.parametrize("name", ["ENETUNREACH", "EHOSTUNREACH", "ECONNREFUSED"])
 def test_a_server_that_alone_is_out_of_reach_is_left_for_the_others(name: str, tmp_path: Path) -> None:
     async def test() -> None:
-        faults = Faults(tmp_path / "faults")
-        async with AsyncExitStack() as stack:
-            servers = [await stack.enter_async_context(Server(f"s-{n}", ONCE)) for n in range(4)]
-            document = configuration(*servers)
-            node = await stack.enter_async_context(program(document, tmp_path, command=faults.command()))
+        async with bed(tmp_path) as (faults, servers, node):
             port = int(servers[0].address.rpartition(":")[2])
             faults.set(connect_errno=getattr(errno, name), connect_port=port)
             begun = asyncio.get_running_loop().time()
