--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -182,3 +182,24 @@
             assert 1100 < told[1] <= 2000 - 700 + 150
 
     run(test())
+
+
+def test_a_request_that_became_whole_in_a_hold_is_not_timed_out_after_it(tmp_path: Path) -> None:
+    """The sweep of slow clients, a timer, ran ahead of the sockets: 408 for what was whole by then."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            for turn in range(3):
+                clients = [await node.client() for _ in range(CLIENTS)]
+                halves = [request(body=b"whole") for _ in clients]
+                for client, data in zip(clients, halves, strict=True):
+                    client.writer.write(data[:-3])
+                await asyncio.sleep(1.6 + turn * 0.003)  # short of the time in which it must have come
+                node.process.send_signal(signal.SIGSTOP)
+                for client, data in zip(clients, halves, strict=True):
+                    client.writer.write(data[-3:])
+                await asyncio.sleep(0.8)
+                node.process.send_signal(signal.SIGCONT)
+                assert {status(await client.read()) for client in clients} == {200}
+
+    run(test())
