Read what came in a hold before clients are timed out

Seen: after a hold of 0.8 s clients whose requests had become whole within it got 408. Cause: Front._sweep is a timer, and after a hold timers run ahead of the sockets.

--- a/driftstair/net/front.py
+++ b/driftstair/net/front.py
@@ -172,7 +172,11 @@
             self._resume()
 
     def _sweep(self) -> None:
-        """Guards against clients that say nothing, stop half way, send slowly or keep what they don't use."""
+        """Guards against clients that say nothing, stop half way, send slowly or keep what they don't use.
+        After a hold, what they have sent is read first."""
+        if self.node.holds.is_settling():
+            self._loop.call_later(LOOK, self._sweep)
+            return
         now = self._loop.time()
         for table, most, end in (
             (self._lingering, LINGER, ClientConnection.abort),
