Forward unregistered 4xx statuses, and report each outcome

Callers saw, with four servers that answer 499 (also 419, 430): 53 of 400 requests got 504 after their whole deadline and 347 got 503 at once; after the servers had recovered 95 of 95 still got 503, until a restart.

Cause: the status line was looked up in a table of HTTPStatus by the status that the server chose. The KeyError left AttemptSupervisor.on_attempt_ended between "attempt removed" and "outcome reported", so that the attempt counted against the policy's cap for ever.

Change: an unregistered status gets an empty reason phrase. Responses go to a client's connection through RequestRegistry._send alone, which logs and counts (response_failed) what is raised there and closes that connection; the request ends as if answered. Outcomes are reported in finally. A check each second compares the attempts that node and policy count, and reports requests and attempts active 0.5 s past their deadline.

--- a/moleport/node/attempt.py
+++ b/moleport/node/attempt.py
@@ -155,6 +155,12 @@
         for timer in (self._expiry_timer, self._write_timer, self._permission_timer):
             if timer is not None:
                 timer.cancel()
+        try:
+            self._release_connections()
+        finally:
+            self._owner.on_attempt_ended(self, result, response)
+
+    def _release_connections(self) -> None:
         if self._connect_task is not None:
             self._connect_task.cancel()
         self.pool.connecting.pop(self, None)
@@ -164,7 +170,6 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.release(self)
-        self._owner.on_attempt_ended(self, result, response)
 
     # Connecting.
 
--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -157,24 +157,26 @@
         if result not in NOT_EXECUTED and not request.first_execution_ns:
             request.first_execution_ns = attempt.written_at_ns or monotonic_ns()
         del request.attempts[attempt.index]
-        if request.is_answered:
-            self._requests.remove_if_done(request)
-        elif response is not None:
-            self._forward_response(request, result, response)
         load_report: tuple[float, ...] = ()
-        if response is not None and response.load_report:
-            load_report = self._parse_load_report(response.load_report)
-        self._dispatch_event(
-            api.AttemptOutcome(
-                request.request_number,
-                request.is_answered,
-                result,
-                elapsed_ns,
-                attempt.endpoint_id,
-                attempt.index,
-                load_report,
+        try:
+            if request.is_answered:
+                self._requests.remove_if_done(request)
+            elif response is not None:
+                self._forward_response(request, result, response)
+            if response is not None and response.load_report:
+                load_report = self._parse_load_report(response.load_report)
+        finally:
+            self._dispatch_event(
+                api.AttemptOutcome(
+                    request.request_number,
+                    request.is_answered,
+                    result,
+                    elapsed_ns,
+                    attempt.endpoint_id,
+                    attempt.index,
+                    load_report,
+                )
             )
-        )
 
     def _forward_response(
         self, request: PendingRequest, result: AttemptResult, response: ServerResponse
--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -37,7 +37,7 @@
 MAX_WRITE_SECONDS = 10.0  # for the client to take a response to a request without a deadline
 MAX_LINGERING_BYTES = 128 << 10  # read and dropped after the last response
 
-STATUS_LINES = {status.value: b"%d %s" % (status.value, status.phrase.encode()) for status in HTTPStatus}
+REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -289,7 +289,8 @@
             and not self._context.is_draining
             and not self._table.is_full()
         )
-        lines = [b"HTTP/1.1 ", STATUS_LINES[status], b"\r\n"]
+        # A server may choose a status that is not registered; its reason phrase is empty.
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b""))]
         for name, value in headers:
             lines += (name, b": ", value, b"\r\n")
         if status == 405:
--- /dev/null
+++ b/moleport/node/consistency_check.py
@@ -0,0 +1,73 @@
+"""Check every second that the node's state agrees with itself.
+
+Two things are checked: no request and no attempt outlives its deadline, and the policy counts as many
+attempts in flight as the node has. A violation is counted and logged, and repairs nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from time import monotonic_ns
+
+from moleport.node.hold_detector import HoldDetector
+from moleport.node.invariants import Invariant
+from moleport.node.request import PendingRequest
+from moleport.telemetry import Telemetry
+from moleport.units import NS_PER_MS
+
+CHECK_PERIOD_SECONDS = 1.0
+MAX_OVERDUE_NS = 500 * NS_PER_MS  # after its deadline a request or an attempt may still be active
+
+
+class ConsistencyCheck:
+    """Compares what the node and the policy hold of requests and attempts."""
+
+    def __init__(
+        self,
+        active_requests: Mapping[int, PendingRequest],
+        policy_attempt_count: Callable[[], int],
+        hold_detector: HoldDetector,
+        telemetry: Telemetry,
+    ) -> None:
+        """Check active requests, by number, against the policy's count of attempts in flight."""
+        self._active_requests = active_requests
+        self._policy_attempt_count = policy_attempt_count
+        self._hold_detector = hold_detector
+        self._telemetry = telemetry
+        self._overdue: set[tuple[int, int | None]] = set()  # reported: request, and attempt or None
+        self._excess_count = 0  # attempts that the policy counted beyond the node's, when last checked
+
+    def start(self) -> None:
+        """Schedule the next check on the running event loop."""
+        asyncio.get_running_loop().call_later(CHECK_PERIOD_SECONDS, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.start()
+        if not self._hold_detector.is_settling():  # what fell due in a hold may not be handled yet
+            self.check()
+
+    def check(self) -> None:
+        """Report each overdue request and attempt once, and each change of the policy's excess."""
+        self._check_overdue(monotonic_ns() - MAX_OVERDUE_NS)
+        self._check_attempt_counts()
+
+    def _check_overdue(self, latest_deadline_ns: int) -> None:
+        overdue: set[tuple[int, int | None]] = set()
+        for request in self._active_requests.values():
+            if request.client_request.deadline_ns < latest_deadline_ns:
+                overdue.add((request.request_number, None))
+            for index, attempt in request.attempts.items():
+                if attempt.expires_at_ns < latest_deadline_ns:
+                    overdue.add((request.request_number, index))
+        for request_number, attempt_index in overdue - self._overdue:
+            self._telemetry.violate(Invariant.ENDED_IN_TIME, request=request_number, attempt=attempt_index)
+        self._overdue = overdue
+
+    def _check_attempt_counts(self) -> None:
+        node_count = sum(len(request.attempts) for request in self._active_requests.values())
+        policy_count = self._policy_attempt_count()
+        excess_count = policy_count - node_count
+        if excess_count and excess_count != self._excess_count:
+            self._telemetry.violate(Invariant.ATTEMPTS_AGREE, node=node_count, policy=policy_count)
+        self._excess_count = excess_count
--- a/moleport/node/dispatcher.py
+++ b/moleport/node/dispatcher.py
@@ -19,6 +19,7 @@
 from moleport.config.node_config import Config
 from moleport.node.attempt_supervisor import AttemptSupervisor
 from moleport.node.connection_pools import ConnectionPools
+from moleport.node.consistency_check import ConsistencyCheck
 from moleport.node.endpoint_list import EndpointList
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.policy_timers import PolicyTimers
@@ -50,6 +51,9 @@
         attempts = AttemptSupervisor(
             config, pools, self.requests, self.hold_detector, self.telemetry, dispatch_event
         )
+        self._consistency_check = ConsistencyCheck(
+            self.requests.active, self.attempts_in_flight_by_policy, self.hold_detector, self.telemetry
+        )
         # Bound once, to save look-ups for each request.
         self._start_attempt = attempts.start_attempt
         self._set_timer = self._timers.set
@@ -62,6 +66,7 @@
         """Start the policy, and load the endpoints that the configuration names."""
         self._pools.start()
         self.hold_detector.start()
+        self._consistency_check.start()
         self._execute_actions(self._balancer.start(monotonic_ns()))
         self.endpoint_list.start()
 
@@ -86,6 +91,10 @@
         """Answer all active requests and reject further ones: the process is about to end."""
         self.requests.fail_all()
 
+    def attempts_in_flight_by_policy(self) -> int:
+        """Return how many attempts count against the policy's caps, without those released late."""
+        return self._balancer.attempts_in_flight()
+
     def has_endpoints(self) -> bool:
         """Whether there is an endpoint that requests can be forwarded to."""
         return bool(self._ready_endpoint_ids)
--- a/moleport/node/invariants.py
+++ b/moleport/node/invariants.py
@@ -1,4 +1,4 @@
-"""Check the platform's rules at each request that is written to a server.
+"""The platform's rules, and their check at each request that is written to a server.
 
 The rules: one response to a client, no repeated execution, nothing to a server that drains or is removed,
 nothing for a client that has disconnected. The checks are independent of the code that enforces the rules. A
@@ -19,7 +19,7 @@
 
 
 class Invariant(StrEnum):
-    """A rule for requests that are written to servers; the value names it in logs and counters."""
+    """A rule for requests and attempts; the value names it in logs and counters."""
 
     NOT_ANSWERED = "not_answered"
     ATTEMPT_LIMIT = "attempt_limit"
@@ -28,6 +28,8 @@
     CLIENT_CONNECTED = "client_connected"
     ENDPOINT_AVAILABLE = "endpoint_available"
     DEADLINE_NOT_EXTENDED = "deadline_not_extended"
+    ENDED_IN_TIME = "ended_in_time"  # checked by consistency_check.py, like the next one
+    ATTEMPTS_AGREE = "attempts_agree"
 
 
 class RequestWrite(NamedTuple):
--- a/moleport/node/request.py
+++ b/moleport/node/request.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from time import monotonic_ns
@@ -19,6 +20,8 @@
 from moleport.telemetry import Event, Telemetry
 from moleport.units import NS_PER_MS, NS_PER_SECOND
 
+log = logging.getLogger(__name__)
+
 RESPONSE_TRANSIT_NS = 5 * NS_PER_MS
 """A final response is sent this long before the client's deadline, to reach the client in time."""
 
@@ -36,6 +39,10 @@
         """Send the final response of the request in progress."""
         ...
 
+    def abort(self) -> None:
+        """Close the connection at once."""
+        ...
+
 
 @dataclass(slots=True, eq=False)
 class ClientRequest:
@@ -103,14 +110,14 @@
         remaining_ns = client_request.deadline_ns - RESPONSE_TRANSIT_NS - now
         if remaining_ns <= 0:
             self._telemetry.count(Event.REQUEST_EXPIRED_ON_ARRIVAL, request=request.request_number)
-            client_request.client.send_response(504, [], b"")
+            self._send(request, 504, [])
         elif client_request.request_id in self._request_ids:
             # Servers would take it for a retry of the other client's request.
             self._telemetry.count(Event.REQUEST_DUPLICATE_ID, request=request.request_number)
-            client_request.client.send_response(409, [], b"")
+            self._send(request, 409, [])
         elif self._is_shutting_down or len(self.active) >= self._config.max_requests:
             self._telemetry.count(self._rejection_event(), request=request.request_number)
-            client_request.client.send_response(503, self.default_retry_after_headers(), b"")
+            self._send(request, 503, self.default_retry_after_headers())
         else:
             self.active[request.request_number] = request
             self._request_ids.add(client_request.request_id)
@@ -202,7 +209,7 @@
         if request.is_answered:
             return
         self._telemetry.count(Event.REQUEST_OVERDUE, request=request.request_number, status=status)
-        request.client_request.client.send_response(status, [], b"")
+        self._send(request, status, [])
         self._end_early(request)
 
     def _end_early(self, request: PendingRequest) -> None:
@@ -218,9 +225,25 @@
         """Send the final response of a request, unless it has had one."""
         request = self.active.get(request_number)
         if request is not None and not request.is_answered:
-            request.client_request.client.send_response(status, headers, body)
+            self._send(request, status, headers, body)
             self._mark_answered(request)
 
+    def _send(self, request: PendingRequest, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Hand a final response to the client's connection, which is closed if it fails on it.
+
+        The request and its attempts end as if it had been sent: left active, they would count as in flight.
+        """
+        client = request.client_request.client
+        try:
+            client.send_response(status, headers, body)
+        except Exception:
+            request_id = request.client_request.request_id
+            self._telemetry.count(
+                Event.RESPONSE_FAILED, request=request.request_number, id=request_id, status=status
+            )
+            log.exception("no response %d to request %d (id %r)", status, request.request_number, request_id)
+            client.abort()
+
     def _mark_answered(self, request: PendingRequest) -> None:
         request.is_answered = True
         if request.watchdog is not None:
--- a/moleport/policy/balancer.py
+++ b/moleport/policy/balancer.py
@@ -107,6 +107,10 @@
             self._on_client_disconnected(now_ns, event)
         return self._actions.pending
 
+    def attempts_in_flight(self) -> int:
+        """Return how many attempts are in flight by the counts that the caps are compared with."""
+        return self._admission.attempts_in_flight()
+
     def _on_request(self, now_ns: int, request: api.Request) -> None:
         request_class = self._settings.classes[request.class_index]
         self._slow_start.on_request()
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -28,6 +28,7 @@
     REQUEST_OVERDUE = (
         "request_overdue"  # unanswered at its deadline, at shutdown or after a fault of the policy
     )
+    RESPONSE_FAILED = "response_failed"  # an exception as the client's connection was given a response
     CLIENT_DISCONNECTED = "client_disconnected"  # before its response
     CLIENT_TIMED_OUT = "client_timed_out"  # stopped sending within a request
     CLIENT_CLOSED_IDLE = "client_closed_idle"  # sent no request, or no further one, for too long
--- /dev/null
+++ b/tests/node/test_answer_faults.py
@@ -0,0 +1,53 @@
+"""Answers that the node can't handle: they end their own request, and nothing stays counted."""
+
+from __future__ import annotations
+
+import pytest
+from rig import Rig, Server, answer, configuration, request, run, says, serves, status
+
+from moleport.node.client_connection import ClientConnection
+from moleport.policy.interface import AttemptResult
+from moleport.telemetry import Event
+
+
+def test_a_response_that_the_client_connection_fails_on_leaves_nothing_in_flight(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An attempt whose outcome is not reported would use up the cap for good."""
+    send_response = ClientConnection.send_response
+
+    def fail(self: ClientConnection, *_: object) -> None:
+        raise KeyError(499)
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            monkeypatch.setattr(ClientConnection, "send_response", fail)
+            for _ in range(3):
+                client = await rig.client()
+                client.writer.write(request("order"))
+                assert await client.ended() == b""
+            monkeypatch.setattr(ClientConnection, "send_response", send_response)
+            results = [(outcome.result, outcome.is_answered) for outcome in rig.spy.outcomes()]
+            assert results == [(AttemptResult.OK, True)] * 3
+            assert not rig.node.requests.active
+            assert rig.node.attempts_in_flight_by_policy() == 0
+            assert rig.node.telemetry.counters[Event.RESPONSE_FAILED] == 3
+            assert status(await (await rig.client()).ask(request("order"))) == 200
+
+    run(test())
+
+
+def test_unregistered_statuses_of_all_servers_cost_the_following_requests_nothing() -> None:
+    """Sixty of them, more than the cap; the servers then recover."""
+
+    async def test() -> None:
+        async with Server("s-1", says(answer(499))) as server, Rig(configuration(server)) as rig:
+            for _ in range(60):
+                client = await rig.client()
+                assert status(await client.ask(request())) == 499
+            server.script = serves
+            client = await rig.client()
+            for _ in range(20):
+                assert status(await client.ask(request())) == 200
+
+    run(test())
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -76,6 +76,13 @@
         (says(answer(500)), AttemptResult.ERROR, 502),
         (says(answer(404)), AttemptResult.CLIENT_ERROR, 404),
         (says(answer(400)), AttemptResult.CLIENT_ERROR, 400),
+        (says(answer(419)), AttemptResult.CLIENT_ERROR, 419),
+        (says(answer(422)), AttemptResult.CLIENT_ERROR, 422),
+        (says(answer(430)), AttemptResult.CLIENT_ERROR, 430),
+        (says(answer(499)), AttemptResult.CLIENT_ERROR, 499),
+        (says(b"HTTP/1.1 499\r\nContent-Length: 0\r\n\r\n"), AttemptResult.CLIENT_ERROR, 499),
+        (says(answer(600)), AttemptResult.ERROR, 502),
+        (says(answer(999)), AttemptResult.ERROR, 502),
         (says(answer(408)), AttemptResult.ERROR, 502),
         (says(answer(429)), AttemptResult.ERROR, 502),
         (says(answer(503)), AttemptResult.ERROR, 502),
@@ -122,6 +129,7 @@
             if result is AttemptResult.OK:
                 assert got.body == b"frame"
             assert not rig.node.requests.active
+            assert rig.node.attempts_in_flight_by_policy() == 0
 
     run(test())
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -315,6 +315,10 @@
         done = self.instead(event)
         return self._balancer.handle(now, event) if done is None else done
 
+    def attempts_in_flight(self) -> int:
+        """Return the number of attempts in flight as the balancer counts it."""
+        return self._balancer.attempts_in_flight()
+
     def outcomes(self) -> list[api.AttemptOutcome]:
         """Return the recorded outcomes of attempts."""
         return [event for event in self.events if isinstance(event, api.AttemptOutcome)]
