Derive from an attempt's state whether it may end as unsent

Callers saw a request of a class that may run once executed by two servers. Connecting fails with EADDRNOTAVAIL, the attempt backs off, finds the busy connection idle again and writes to it; then the endpoint list says that the server drains, ConnectionPool.retire ends the attempt as NOT_SENT, and it is retried at the second server.

Cause: `ConnectionPool.connecting` was kept by each path for itself, and the path from a local fault over a backoff to an idle connection left the attempt in it.

Change: an attempt has an explicit AttemptState, changed by `_enter` alone, on which depends whether it stands in `ConnectionPool.unsent`; the pool ends these by give_up_unwritten. `end` compares results that say "not executed" with what was written: a contradiction is the violation result_matches_write, and ends as CANCELLED.

--- a/moleport/node/attempt.py
+++ b/moleport/node/attempt.py
@@ -25,6 +25,9 @@
 MAX_TIMER_DELAY_NS = 5 * NS_PER_MS  # a longer one means that the process was held up
 SOCKET_READ_DELAY_S = 0.001  # in which the event loop reads its sockets once
 
+UNSENT_RESULTS = (AttemptResult.NOT_SENT, AttemptResult.CONNECT_FAILED)
+"""Results that say that the last byte of the request was not written."""
+
 
 class WritePermission(Enum):
     """The owner's answer to an attempt that is about to connect or to write."""
@@ -34,6 +37,16 @@
     DENIED = "stop"  # the attempt ends unsent
 
 
+class AttemptState(Enum):
+    """How far an attempt has come."""
+
+    WAITING = "waiting"  # for permission, or for a backoff to pass
+    CONNECTING = "connecting"
+    CONNECTED = "connected"  # the new connection has not carried a request
+    IN_FLIGHT = "in flight"  # the request is written, or being written
+    ENDED = "ended"  # by a response, a fault, a timer or `cancel`
+
+
 class AttemptOwner(Protocol):
     """The party that starts attempts, permits their writes and takes their results."""
 
@@ -50,6 +63,9 @@
         `timeout_ns` is the time left that the request states to the server.
         """
 
+    def on_written_ended_unsent(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Handle that an attempt was to end as not executed though its last byte is with the kernel."""
+
     def on_attempt_ended(
         self, attempt: Attempt, result: AttemptResult, response: ServerResponse | None
     ) -> None:
@@ -59,15 +75,16 @@
 class Attempt:
     """One request at one server.
 
-    It goes through these states, and from each of them to its end:
+    It goes through the states of `AttemptState`, from WAITING to IN_FLIGHT and from each of them to ENDED.
+    Only `_enter` changes the state, on which alone depends whether the pool takes the attempt for unsent.
+    A local fault in connecting leads back to WAITING, and an idle connection from there to IN_FLIGHT.
 
-    1. waiting for permission: polls its owner (`_permission_timer`), also after a backoff
-    2. connecting (`_connect_task`), if the pool has no idle connection
-    3. connected, waiting for permission to write (`_new_connection`, `_permission_timer`)
-    4. in flight: the request is written, or being written, to `_connection`
-    5. ended (`done`): by a response, a fault, a timer or `cancel`
+    - WAITING and CONNECTED: polls its owner for permission (`_permission_timer`)
+    - CONNECTING: `_connect_task` runs
+    - CONNECTED: holds `_new_connection`
+    - IN_FLIGHT: its request is written, or being written, to `_connection`
 
-    `end` is the only way to the last state; only its first call has an effect.
+    `end` is the only way to ENDED; only its first call has an effect.
     """
 
     __slots__ = (
@@ -80,8 +97,8 @@
         "_new_connection",
         "_owner",
         "_permission_timer",
+        "_state",
         "_write_timer",
-        "done",
         "effective_start_ns",
         "endpoint_id",
         "expires_at_ns",
@@ -119,10 +136,10 @@
         self.expires_at_ns = expires_at_ns
         self.write_deadline_ns = write_deadline_ns
         self.written_at_ns = 0  # 0: not written
-        self.done = False
         self._head = head
         self._body = body
         self._owner = owner
+        self._state = AttemptState.WAITING
         self._connection: ServerConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._new_connection: ServerConnection | None = None
@@ -149,9 +166,13 @@
 
     def end(self, result: AttemptResult, response: ServerResponse | None = None) -> None:
         """Release timers and connections, and report the result to the owner; later calls have no effect."""
-        if self.done:
+        if self._state is AttemptState.ENDED:
             return
-        self.done = True
+        if result in UNSENT_RESULTS and self._is_written():
+            # A retry could execute the request twice.
+            self._owner.on_written_ended_unsent(self, result)
+            result = AttemptResult.CANCELLED
+        self._enter(AttemptState.ENDED)
         for timer in (self._expiry_timer, self._write_timer, self._permission_timer):
             if timer is not None:
                 timer.cancel()
@@ -163,7 +184,6 @@
     def _release_connections(self) -> None:
         if self._connect_task is not None:
             self._connect_task.cancel()
-        self.pool.connecting.pop(self, None)
         new_connection, self._new_connection = self._new_connection, None
         if new_connection is not None:
             self.pool.return_unused(new_connection)
@@ -171,6 +191,14 @@
         if connection is not None:
             connection.release(self)
 
+    def _enter(self, state: AttemptState) -> None:
+        """Change the state; the pool may end the attempt as unsent until it is in flight."""
+        self._state = state
+        if state is AttemptState.IN_FLIGHT or state is AttemptState.ENDED:
+            self.pool.unsent.pop(self, None)
+        else:
+            self.pool.unsent[self] = None
+
     # Connecting.
 
     def _acquire_connection(self) -> None:
@@ -187,7 +215,7 @@
             # A lack of descriptors in this process is no fault of the server.
             self.end(AttemptResult.NOT_SENT)
         else:
-            self.pool.connecting[self] = None
+            self._enter(AttemptState.CONNECTING)
             self._start_timer(min(self.expires_at_ns, monotonic_ns() + self.pool.pools.connect_timeout_ns))
             self._connect_task = asyncio.get_running_loop().create_task(self._open_connection())
 
@@ -197,6 +225,7 @@
         if permission is WritePermission.DENIED:
             self.end(AttemptResult.NOT_SENT)
         elif permission is WritePermission.WAIT:
+            self._enter(AttemptState.CONNECTED if self._new_connection else AttemptState.WAITING)
             self._permission_timer = asyncio.get_running_loop().call_later(PERMISSION_POLL_INTERVAL_S, retry)
         return permission is WritePermission.GRANTED
 
@@ -217,14 +246,14 @@
         finally:
             pools.sockets -= 1
         self._connect_task = None
-        self.pool.connecting.pop(self, None)
         pools.on_connected()
-        if self.done:  # it ended in the same iteration of the event loop
+        if self._state is AttemptState.ENDED:  # it ended in the same iteration of the event loop
             connection.close()
         elif connection.closed:
             self.end(AttemptResult.CONNECT_FAILED)
         else:
             self._new_connection = connection
+            self._enter(AttemptState.CONNECTED)
             self._write_to_new_connection()
 
     def _on_connect_failed(self, fault: Fault) -> None:
@@ -243,6 +272,7 @@
             return
         if fault is Fault.DESCRIPTORS:
             self.pool.pools.close_longest_idle()
+        self._enter(AttemptState.WAITING)
         doublings = min(self._local_fault_count, MAX_BACKOFF_DOUBLINGS)
         backoff_s = min(MAX_BACKOFF_S, BACKOFF_BASE_S * 2**doublings)
         self.effective_start_ns += int(backoff_s * NS_PER_SECOND)  # not part of the server's response time
@@ -273,6 +303,7 @@
             self.end(AttemptResult.NOT_SENT if is_write_overdue else AttemptResult.CONNECT_FAILED)
             return
         self._connection = connection
+        self._enter(AttemptState.IN_FLIGHT)
         self._start_timer(self.expires_at_ns)
         connection.send(
             self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, remaining_ns // NS_PER_US, self._body)
--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -9,7 +9,7 @@
 from moleport.node.attempt import Attempt, WritePermission
 from moleport.node.connection_pools import ConnectionPools
 from moleport.node.hold_detector import HoldDetector
-from moleport.node.invariants import RequestWrite, violated_invariants
+from moleport.node.invariants import Invariant, RequestWrite, violated_invariants
 from moleport.node.load_report import LoadReportParser
 from moleport.node.request import RESPONSE_TRANSIT_NS, PendingRequest, RequestRegistry
 from moleport.node.response_parser import ServerResponse
@@ -148,6 +148,15 @@
             )
         attempt.written_at_ns = now
 
+    def on_written_ended_unsent(self, attempt: Attempt, result: AttemptResult) -> None:
+        """Report a result that contradicts what was written."""
+        self._telemetry.violate(
+            Invariant.RESULT_MATCHES_WRITE,
+            request=attempt.request_number,
+            attempt=attempt.index,
+            result=result.value,
+        )
+
     def on_attempt_ended(
         self, attempt: Attempt, result: AttemptResult, response: ServerResponse | None
     ) -> None:
--- a/moleport/node/connection_pool.py
+++ b/moleport/node/connection_pool.py
@@ -1,4 +1,4 @@
-"""The idle connections to one server, and the attempts that are connecting to it."""
+"""The idle connections to one server, and the attempts that have not written their request to it."""
 
 from __future__ import annotations
 
@@ -6,8 +6,6 @@
 from time import monotonic_ns
 from typing import TYPE_CHECKING
 
-from moleport.policy.interface import AttemptResult
-
 if TYPE_CHECKING:
     from moleport.node.attempt import Attempt
     from moleport.node.connection_pools import ConnectionPools
@@ -17,12 +15,12 @@
 
 
 class ConnectionPool:
-    """The idle connections to one incarnation of a server.
+    """The idle connections to one incarnation of a server, and the attempts still unsent.
 
     A server that restarts or moves to another address gets a new pool, so that it inherits no connection.
     """
 
-    __slots__ = ("address", "connecting", "idle", "pools", "retired", "retired_at_ns", "started_at_ns")
+    __slots__ = ("address", "idle", "pools", "retired", "retired_at_ns", "started_at_ns", "unsent")
 
     def __init__(self, pools: ConnectionPools, address: tuple[str, int], started_at_ns: int) -> None:
         """Start empty, for the server at `address` (host, port) that started at monotonic `started_at_ns`."""
@@ -32,7 +30,7 @@
         self.retired = False
         self.retired_at_ns = 0  # monotonic
         self.idle: list[ServerConnection] = []  # ordered by idle_since_ns, the most recently used last
-        self.connecting: dict[Attempt, None] = {}  # an empty dict takes a third of the memory of a set
+        self.unsent: dict[Attempt, None] = {}  # kept by the attempts; a set would take more memory
 
     def take(self) -> ServerConnection | None:
         """Remove and return the most recently used connection that can carry a request, if there is one.
@@ -93,13 +91,13 @@
     def retire(self) -> None:
         """Send nothing more, because the server drains, was removed or has restarted.
 
-        Requests in flight go on; attempts that are connecting end unsent.
+        Requests in flight go on; attempts that wait or connect end unsent.
         """
         self.retired = True
         self.retired_at_ns = monotonic_ns()
         self.close_idle()
-        for attempt in list(self.connecting):
-            attempt.end(AttemptResult.NOT_SENT)
+        for attempt in list(self.unsent):
+            attempt.give_up_unwritten()
 
 
 def _idle_since_ns(connection: ServerConnection) -> int:
--- a/moleport/node/invariants.py
+++ b/moleport/node/invariants.py
@@ -28,7 +28,8 @@
     CLIENT_CONNECTED = "client_connected"
     ENDPOINT_AVAILABLE = "endpoint_available"
     DEADLINE_NOT_EXTENDED = "deadline_not_extended"
-    ENDED_IN_TIME = "ended_in_time"  # checked by consistency_check.py, like the next one
+    RESULT_MATCHES_WRITE = "result_matches_write"  # no written request ends as not executed
+    ENDED_IN_TIME = "ended_in_time"  # by consistency_check.py, like the next one
     ATTEMPTS_AGREE = "attempts_agree"
 
 
--- a/tests/node/test_invariants.py
+++ b/tests/node/test_invariants.py
@@ -82,6 +82,7 @@
         "client_connected",
         "endpoint_available",
         "deadline_not_extended",
+        "result_matches_write",
         "ended_in_time",
         "attempts_agree",
     ]
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -675,7 +675,7 @@
 
     def expires(self: ServerConnection, transport: asyncio.BaseTransport) -> None:
         made(self, transport)
-        (attempt,) = self._pool.connecting
+        (attempt,) = self._pool.unsent
         setattr(attempt, bound, 1)
 
     async def test() -> None:
