Limit endpoints of unknown capacity to the slow-start slack

Cause, by a trace of eleven sequences: until a warm endpoint is measured the node's arrivals fill the token buckets. They say what is wanted, not what an endpoint can carry.

Change: Contract.Fall reaches the module as overload_window_ns; while no warm rate is measured, an endpoint without three successes in a row gets three requests in each such window.

--- a/moleport/config/protocol_keys.py
+++ b/moleport/config/protocol_keys.py
@@ -29,6 +29,8 @@
     SLOW_START_DURATION_NS = "Contract.Cold"
     OVERLOAD_MULTIPLE = "Contract.FallMultiple"
     """Optional."""
+    OVERLOAD_WINDOW_NS = "Contract.Fall"
+    """Optional."""
     KEY_COOLDOWN_NS = "Contract.KeyRest"
     """Optional; 0 if it is left out."""
     MAX_ATTEMPTS = "Limits.SendCap"
--- a/moleport/config/settings.py
+++ b/moleport/config/settings.py
@@ -132,6 +132,9 @@
         overload_multiple=reader.optional(
             SettingKey.OVERLOAD_MULTIPLE, reader.number, api.DEFAULT_OVERLOAD_MULTIPLE
         ),
+        overload_window_ns=reader.optional(
+            SettingKey.OVERLOAD_WINDOW_NS, reader.integer, api.DEFAULT_OVERLOAD_WINDOW_NS
+        ),
     )
 
 
--- a/moleport/policy/balancer.py
+++ b/moleport/policy/balancer.py
@@ -224,6 +224,8 @@
         if outcome.result is AttemptResult.OK:
             self._load_reports.on_success(attempt.status)
             self._slow_start.on_success(now_ns, attempt.status)
+        else:
+            self._slow_start.on_failure(attempt.status)
         self._load_reports.on_report(attempt.status, outcome.load_report)
         is_early = self._admission.is_early_timeout(active, outcome.result, outcome.elapsed_ns)
         return not is_lost_on_idle and not is_early
--- a/moleport/policy/interface.py
+++ b/moleport/policy/interface.py
@@ -92,6 +92,9 @@
 A load above this multiple of present capacity makes an endpoint collapse.
 """
 
+DEFAULT_OVERLOAD_WINDOW_NS = 3_000_000_000
+"""Used if the settings have no overload_window_ns."""
+
 
 class TimerId(IntEnum):
     """The timers that the module sets; the numbers are those of the simulator's wire."""
@@ -183,6 +186,8 @@
     """The zone of this node, where it is known."""
     overload_multiple: float = DEFAULT_OVERLOAD_MULTIPLE
     """Times its present capacity: an endpoint in slow start that is sent more collapses."""
+    overload_window_ns: int = DEFAULT_OVERLOAD_WINDOW_NS
+    """Time for which it has to be sent more."""
 
     def __post_init__(self) -> None:
         _require("classes", len(self.classes) >= 1, self.classes)
@@ -197,6 +202,7 @@
             ("max_retry_after_ns", 0),
             ("idle_timeout_ns", 0),
             ("key_cooldown_ns", 0),
+            ("overload_window_ns", 0),
         ):
             value = getattr(self, name)
             _require(name, value >= minimum, value)
--- a/moleport/policy/slow_start.py
+++ b/moleport/policy/slow_start.py
@@ -26,6 +26,10 @@
 
 with `present` the capacity of the ready endpoints that are not ejected, and `usual` the mean warm weight.
 
+While no endpoint has been seen warm, the arrivals say what is wanted of an endpoint, not what it can carry.
+An endpoint that has not answered UNPROVEN_COUNT attempts in a row is then sent at most as many in each
+`overload_window_ns`, however many tokens it has.
+
 Failure that this is for: an endpoint with empty caches that is sent its full share and collapses. An endpoint
 collapses when it is sent more than `overload_multiple` times its present capacity for long.
 """
@@ -44,6 +48,7 @@
 CAPACITY_MARGIN_RATIO = 0.8  # requests cost more than usual while caches are empty
 MAX_TOKEN_COUNT = 2.0  # requests
 FLEET_INITIAL_TOKEN_COUNT = 3.0  # requests of all nodes together: a fleet of one endpoint has to get some
+UNPROVEN_COUNT = 3  # requests that an endpoint of any capacity stands within the overload window
 RATE_DECAY_FACTOR = 0.99  # each window
 ARRIVAL_EWMA_WEIGHT = 0.5  # of the newest window
 
@@ -57,6 +62,7 @@
         self._initial_ratio = settings.slow_start_initial_ratio
         self._duration_ns = max(1, settings.slow_start_duration_ns)
         self._overload_multiple = settings.overload_multiple
+        self._overload_window_ns = settings.overload_window_ns
         self._node_count = settings.node_count
         self._random = random
         self._endpoints = endpoints
@@ -91,7 +97,16 @@
         earned = fill_rate * (now_ns - status.slow_start_refilled_at_ns)
         status.slow_start_tokens = min(MAX_TOKEN_COUNT, status.slow_start_tokens + earned)
         status.slow_start_refilled_at_ns = now_ns
-        return status.slow_start_tokens >= 1.0 and self._random.random() < self._burst_ratio
+        if status.slow_start_tokens < 1.0 or self._is_unproven_and_busy(now_ns, status):
+            return False
+        return self._random.random() < self._burst_ratio
+
+    def _is_unproven_and_busy(self, now_ns: int, status: EndpointStatus) -> bool:
+        """Return whether an endpoint of unknown capacity was sent UNPROVEN_COUNT requests lately."""
+        if self._warm_request_rate or status.success_streak >= UNPROVEN_COUNT:
+            return False
+        sent_at_ns = status.unproven_sent_at_ns
+        return len(sent_at_ns) == UNPROVEN_COUNT and now_ns - sent_at_ns[0] <= self._overload_window_ns
 
     def on_request(self) -> None:
         """Count an arrival."""
@@ -99,13 +114,22 @@
 
     def on_attempt_sent(self, now_ns: int, status: EndpointStatus) -> None:
         """Take a token from an endpoint that is warming up."""
-        if self.capacity_ratio(now_ns, status.endpoint) < 1.0:
-            status.slow_start_tokens -= 1.0
+        if self.capacity_ratio(now_ns, status.endpoint) >= 1.0:
+            return
+        status.slow_start_tokens -= 1.0
+        if not self._warm_request_rate:
+            status.unproven_sent_at_ns = (*status.unproven_sent_at_ns, now_ns)[-UNPROVEN_COUNT:]
 
     def on_success(self, now_ns: int, status: EndpointStatus) -> None:
-        """Count a successful answer of a warm endpoint."""
+        """Count a successful answer."""
         if self.capacity_ratio(now_ns, status.endpoint) >= 1.0:
             self._window_answers += 1
+        else:
+            status.success_streak += 1
+
+    def on_failure(self, status: EndpointStatus) -> None:
+        """Take an endpoint in slow start for unproven, as an attempt ended without success."""
+        status.success_streak = 0
 
     def initial_tokens(self, now_ns: int, endpoint: api.Endpoint) -> float:
         """Return the tokens of an endpoint that was just listed or has just started."""
@@ -117,6 +141,8 @@
         """Begin with new tokens where the new entry of an endpoint has another start time."""
         status.slow_start_tokens = self.initial_tokens(now_ns, endpoint)
         status.slow_start_refilled_at_ns = now_ns
+        status.unproven_sent_at_ns = ()
+        status.success_streak = 0
 
     def add_ready(self, status: EndpointStatus) -> None:
         """Count an endpoint that has become ready; `update_warm_weight` checks whether it is warm."""
--- a/moleport/policy/state.py
+++ b/moleport/policy/state.py
@@ -24,6 +24,10 @@
     """Requests that it may be sent during slow start. Owner: slow_start."""
     slow_start_refilled_at_ns: int
     """When the tokens were last refilled. Owner: slow_start."""
+    unproven_sent_at_ns: tuple[int, ...] = ()
+    """When it was sent its last requests while its capacity was unknown, newest last. Owner: slow_start."""
+    success_streak: int = 0
+    """Attempts in slow start that succeeded since one failed. Owner: slow_start."""
     in_flight: int = 0
     """Attempts of this node in flight, and those released late after a time-out. Owner: admission."""
     idle_since_ns: list[int] = field(default_factory=list)
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -189,6 +189,14 @@
         translation.read_settings(remaining)
 
 
+def test_the_overload_window_is_optional() -> None:
+    """Without it the default holds."""
+    assert translation.read_settings(CONFIG).overload_window_ns == api.DEFAULT_OVERLOAD_WINDOW_NS
+    assert (
+        translation.read_settings(CONFIG + "Contract.Fall=1500000000\n").overload_window_ns == 1_500_000_000
+    )
+
+
 def test_the_overload_multiple_is_optional() -> None:
     """Without it the default holds."""
     assert translation.read_settings(CONFIG).overload_multiple == api.DEFAULT_OVERLOAD_MULTIPLE
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -88,6 +88,7 @@
             slow_start_duration_ns=plan.slow_start_duration_ns,
             max_attempts=3,
             overload_multiple=plan.overload_multiple,
+            overload_window_ns=plan.overload_window_ns,
         )
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
--- a/tests/policy/test_balancer.py
+++ b/tests/policy/test_balancer.py
@@ -1106,6 +1106,7 @@
         ("slow_start_initial_ratio", lambda: settings(slow_start_initial_ratio=-0.1)),
         ("slow_start_duration_ns", lambda: settings(slow_start_duration_ns=-1)),
         ("overload_multiple", lambda: settings(overload_multiple=-1.0)),
+        ("overload_window_ns", lambda: settings(overload_window_ns=-1)),
         ("node_count", lambda: settings(node_count=0)),
         ("key_cooldown_ns", lambda: settings(key_cooldown_ns=-1)),
     ],
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -64,6 +64,44 @@
     Game(Balancer(rules, 61932), rules, Random(61932)).play(steps=250)
 
 
+SEQUENCES = 3000
+SEQUENCES_EACH = 500  # in one test
+
+
+def random_shape(random: Random) -> dict[str, object]:
+    """Return settings of any of the shapes above."""
+    return {
+        "discovery_mode": random.choice(list(api.DiscoveryMode)),
+        "tenants": random.choice([(), (api.Tenant(0.7), api.Tenant(0.3))]),
+        "sends_retry_after": random.random() < 0.5,
+        "weight_by_work": random.random() < 0.5,
+        "node_count": random.choice([1, 5, 200]),
+        "key_cooldown_ns": random.choice([0, 50 * MS, 400 * MS]),
+        "max_attempts": random.choice([1, 2, 4]),
+        "load_report_fields": random.choice([(), ("utilization",), ("completed_per_s", "utilization")]),
+    }
+
+
+def play_sequence(seed: int) -> None:
+    random = Random(seed)
+    shape = random_shape(random)
+    group = random.choice(list(api.DeduplicationScope))
+    streams = random.random() < 0.5
+    rules = settings(classes=classes(group), **shape)
+    Game(Balancer(rules, seed), rules, Random(seed), streams).play(steps=250)
+
+
+@pytest.mark.parametrize("first", range(0, SEQUENCES, SEQUENCES_EACH))
+def test_the_rules_hold_over_a_range_of_seeds(first: int) -> None:
+    broken = {}
+    for seed in range(first, first + SEQUENCES_EACH):
+        try:
+            play_sequence(seed)
+        except RuleBrokenError as error:
+            broken[seed] = str(error)
+    assert not broken
+
+
 def broken_rule(rules: api.Settings, games: int = 60) -> str:
     """Return the rule that the checker finds broken over many generated sequences, or "none"."""
     for seed in range(games):
--- a/tests/policy/test_slow_start_fleet.py
+++ b/tests/policy/test_slow_start_fleet.py
@@ -94,6 +94,27 @@
     assert 0.4 < sum(sent[150:]) / 50 < 0.8
 
 
+@pytest.mark.parametrize("result", [AttemptResult.ERROR, AttemptResult.TIMEOUT, AttemptResult.REJECTED])
+def test_an_endpoint_of_unknown_capacity_that_fails_gets_three_requests_in_a_window(
+    result: AttemptResult,
+) -> None:
+    """The arrivals say nothing of what it can carry; only its successes do."""
+    window_ns = 1500 * MS
+    rules = settings(slow_start_initial_ratio=0.9, max_attempts=1, overload_window_ns=window_ns)
+    node = Node(rules, servers=0)
+    node.tell(whole(server(0, started=START)))
+    sent_at_ns = []
+    for _ in range(400):
+        action = node.ask()[-1]
+        if isinstance(action, api.Forward):
+            sent_at_ns.append(node.now)
+            node.end(action, result)
+        node.wait(20 * MS)
+    assert len(sent_at_ns) > 9
+    for index in range(3, len(sent_at_ns)):
+        assert sent_at_ns[index] - sent_at_ns[index - 3] > window_ns
+
+
 def test_restarted_only_endpoint_gets_requests() -> None:
     for seed in range(20):
         node = Node(
