Close a request before deferred tasks when its client has left

The node drops such an answer, so that callers saw nothing; its counter of rejections was one too high.

Cause: Balancer.handle ran the deferred rejection, due in that moment, before it looked at the ClientDisconnected event. A departure now closes its request first.

--- a/moleport/policy/balancer.py
+++ b/moleport/policy/balancer.py
@@ -94,6 +94,8 @@
     def handle(self, now_ns: int, event: api.Event) -> list[api.Action]:
         """Return the actions that an event leads to; times never decrease from event to event."""
         self._actions.pending = []
+        if isinstance(event, api.ClientDisconnected):
+            self._close(event)  # ahead of deferred tasks, which answer what is open
         self._deferred.run_due(now_ns)
         if isinstance(event, api.Request):
             self._on_request(now_ns, event)
@@ -166,13 +168,16 @@
         if not self._endpoints.ready:
             self._poller.on_empty_list(now_ns)
 
+    def _close(self, event: api.ClientDisconnected) -> None:
+        active = self._active_requests.get(event.request_id)
+        if active is not None:
+            active.is_closed |= not event.is_half_closed
+
     def _on_client_disconnected(self, now_ns: int, event: api.ClientDisconnected) -> None:
         active = self._active_requests.get(event.request_id)
-        if active is None:
-            return
-        active.useful_until_ns = now_ns
-        active.is_closed |= not event.is_half_closed
-        self._abandon_unsent(active, now_ns)
+        if active is not None:
+            active.useful_until_ns = now_ns
+            self._abandon_unsent(active, now_ns)
 
     def _end_window(self, now_ns: int) -> None:
         self._admission.end_window(now_ns)
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -91,6 +91,11 @@
     Game(Balancer(rules, seed), rules, Random(seed), streams).play(steps=250)
 
 
+@pytest.mark.parametrize("seed", [4523, 10831, 14343])
+def test_a_queued_request_whose_client_leaves_as_it_falls_due_gets_no_answer(seed: int) -> None:
+    play_sequence(seed)
+
+
 @pytest.mark.parametrize("first", range(0, SEQUENCES, SEQUENCES_EACH))
 def test_the_rules_hold_over_a_range_of_seeds(first: int) -> None:
     broken = {}
