Use a subset of the endpoints by node for requests without keys

Cause: a request without a key drew its candidates from all ready endpoints, so that each came up less often than its idle connections last.

Such requests use an arc of a ring of the endpoints, as wide as the requests in flight need and 48 at least, placed by the node's index (SelfIndex) so that all arcs add up evenly. Slow-start budgets follow the part of the node's requests that lead to an endpoint.

--- a/moleport/config/protocol_keys.py
+++ b/moleport/config/protocol_keys.py
@@ -21,6 +21,8 @@
     TENANTS = "Tenants"
     """List of tenants; see `TenantKey`. Optional."""
     NODE_COUNT = "PeersTotal"
+    NODE_INDEX = "SelfIndex"
+    """From 0. Optional."""
     DISCOVERY_MODE = "MembershipMode"
     """One of `DISCOVERY_MODES`."""
     POLL_INTERVAL_NS = "Contract.AskWithin"
--- a/moleport/config/settings.py
+++ b/moleport/config/settings.py
@@ -129,6 +129,7 @@
         idle_timeout_ns=reader.integer(SettingKey.IDLE_TIMEOUT_NS),
         key_cooldown_ns=reader.optional(SettingKey.KEY_COOLDOWN_NS, reader.integer, 0),
         zone=reader.optional(SettingKey.ZONE, reader.integer, None),
+        node_index=reader.optional(SettingKey.NODE_INDEX, reader.integer, None),
         overload_multiple=reader.optional(
             SettingKey.OVERLOAD_MULTIPLE, reader.number, api.DEFAULT_OVERLOAD_MULTIPLE
         ),
--- a/moleport/policy/balancer.py
+++ b/moleport/policy/balancer.py
@@ -25,6 +25,7 @@
 from moleport.policy.discovery_polling import DiscoveryPoller
 from moleport.policy.endpoint_registry import EndpointRegistry
 from moleport.policy.endpoint_set import EndpointSet
+from moleport.policy.endpoint_subset import EndpointSubset
 from moleport.policy.final_answers import FinalAnswers
 from moleport.policy.hardware_types import HardwareTypes
 from moleport.policy.hot_keys import HotKeyTracker
@@ -58,14 +59,15 @@
         self._rejection_rates = RejectionRates()
         self._connections = connections = ConnectionHealth(settings.idle_timeout_ns, actions)
         self._outliers = outliers = OutlierDetector(endpoints, random)
-        self._slow_start = slow_start = SlowStart(settings, random, endpoints, outliers)
+        self._subset = subset = EndpointSubset(settings, endpoints, seed)
+        self._slow_start = slow_start = SlowStart(settings, random, endpoints, outliers, subset)
         self._registry = EndpointRegistry(endpoints, outliers, slow_start, load_reports)
         self._poller = DiscoveryPoller(settings, random, actions)
         self._admission = AdmissionControl(
             settings, endpoints, connections, load_reports, slow_start, self._deferred
         )
         self._selector = EndpointSelector(
-            random, endpoints, self._hot_keys, hardware_types, connections, outliers, slow_start
+            random, endpoints, self._hot_keys, hardware_types, connections, outliers, slow_start, subset
         )
         self._retries = RetryPolicy(settings.max_attempts, self._admission)
         self._final_answers = FinalAnswers(settings, actions)
@@ -116,6 +118,7 @@
     def _on_request(self, now_ns: int, request: api.Request) -> None:
         request_class = self._settings.classes[request.class_index]
         self._slow_start.on_request()
+        self._subset.on_request(has_key=request.key != 0)
         if request.key:
             self._hot_keys.record(request.key)
         useful_until_ns = now_ns + request.remaining_ns
@@ -181,6 +184,7 @@
 
     def _end_window(self, now_ns: int) -> None:
         self._admission.end_window(now_ns)
+        self._subset.end_window(self._admission.in_flight.mean)
         self._rejection_rates.decay()
         self._hot_keys.update(len(self._endpoints.ready))
         if self._endpoints.candidates.has_equal_weights():
--- a/moleport/policy/candidate_index.py
+++ b/moleport/policy/candidate_index.py
@@ -41,6 +41,10 @@
         """Return whether all endpoints have the same weight."""
         return self._all_zones_grid.has_equal_weights()
 
+    def own_zone_ratio(self) -> float:
+        """Return the fraction of the keys that the own zone takes, 0 to 1."""
+        return self._own_zone_ratio / HASH_RATIO_SCALE
+
     def update(self, changes: Mapping[bytes, tuple[int, float, T] | None]) -> None:
         """Set zone, weight and value of the endpoints named; None removes an endpoint."""
         own_zone_changes: dict[bytes, tuple[int, T] | None] = {}
--- a/moleport/policy/endpoint_registry.py
+++ b/moleport/policy/endpoint_registry.py
@@ -14,7 +14,7 @@
 
 from moleport.policy import interface as api
 from moleport.policy.endpoint_set import EndpointSet
-from moleport.policy.hashing import MAX_WEIGHT, MIN_WEIGHT
+from moleport.policy.hashing import HASH_MASK, MAX_WEIGHT, MIN_WEIGHT, mix64
 from moleport.policy.interface import EndpointState, EndpointUpdateKind
 from moleport.policy.load_reports import LoadReports
 from moleport.policy.outlier_detection import OutlierDetector
@@ -56,7 +56,8 @@
         status = self._endpoints.by_id.get(endpoint.id)
         if status is None:
             tokens = self._slow_start.initial_tokens(now_ns, endpoint)
-            status = EndpointStatus(endpoint, tokens, now_ns, listed_at_ns=now_ns)
+            position = mix64(int.from_bytes(endpoint.id, "little") & HASH_MASK)
+            status = EndpointStatus(endpoint, tokens, now_ns, listed_at_ns=now_ns, ring_position=position)
             self._endpoints.by_id[endpoint.id] = status
         elif endpoint == status.endpoint:
             return
@@ -114,6 +115,7 @@
             insort(ready, status, key=_id_of)
 
     def _update_candidates(self, changed: Iterable[EndpointStatus]) -> None:
+        self._endpoints.version += 1
         self._endpoints.candidates.update(
             {
                 one.endpoint.id: (one.endpoint.zone, one.endpoint.weight, one) if one.is_ready else None
--- a/moleport/policy/endpoint_set.py
+++ b/moleport/policy/endpoint_set.py
@@ -16,3 +16,5 @@
         """Ordered by id; always the same list object."""
         self.candidates: CandidateIndex[EndpointStatus] = CandidateIndex(zone)
         """The ready endpoints by hash of the key."""
+        self.version = 0
+        """Grows with each change of the ready endpoints."""
--- a/moleport/policy/interface.py
+++ b/moleport/policy/interface.py
@@ -184,6 +184,8 @@
     """Ordered keys: the pause after an attempt that may still be running."""
     zone: int | None = None
     """The zone of this node, where it is known."""
+    node_index: int | None = None
+    """Number of this node among the `node_count`, from 0, where it is known."""
     overload_multiple: float = DEFAULT_OVERLOAD_MULTIPLE
     """Times its present capacity: an endpoint in slow start that is sent more collapses."""
     overload_window_ns: int = DEFAULT_OVERLOAD_WINDOW_NS
@@ -206,6 +208,7 @@
         ):
             value = getattr(self, name)
             _require(name, value >= minimum, value)
+        _require("node_index", self.node_index is None or self.node_index >= 0, self.node_index)
 
 
 class Endpoint(NamedTuple):
--- a/moleport/policy/selection.py
+++ b/moleport/policy/selection.py
@@ -2,8 +2,9 @@
 
 The key of a request (a random one if it has none) names a sequence of endpoints by weighted hashing; every
 other one is of the node's own zone, as far as that zone can carry it. A hot key starts at a random place of
-its fan-out. An endpoint is passed over for the part of the keys that its hardware type gives up. After
-MAX_DRAW_COUNT places all ready endpoints follow, from a place that depends on the key.
+its fan-out. Where the node uses a subset (endpoint_subset), a request without a key draws from that instead,
+every other time from its own zone. An endpoint is passed over for the part of the keys that its hardware type
+gives up. After MAX_DRAW_COUNT places all ready endpoints follow, from a place that depends on the key.
 
 Of these, the first two that may be used are compared by load score, and the lower one is selected. Passed
 over are endpoints that this request was sent to, those where it could be executed twice, ejected ones, those
@@ -28,6 +29,7 @@
 
 from moleport.policy.connection_health import ConnectionHealth
 from moleport.policy.endpoint_set import EndpointSet
+from moleport.policy.endpoint_subset import EndpointSubset
 from moleport.policy.hardware_types import HardwareTypes
 from moleport.policy.hashing import HASH_RATIO_SCALE, HASH_RATIO_SHIFT_BITS, mix64
 from moleport.policy.hot_keys import HotKeyTracker
@@ -61,8 +63,10 @@
         connections: ConnectionHealth,
         outliers: OutlierDetector,
         slow_start: SlowStart,
+        subset: EndpointSubset,
     ) -> None:
         self._random = random
+        self._subset = subset
         self._ready = endpoints.ready
         self._candidates = endpoints.candidates
         self._hot_keys = hot_keys
@@ -99,8 +103,26 @@
         ready = self._ready
         if not ready:
             return
-        find, hardware_types = self._candidates.find, self._hardware_types
         key = active.request.key or self._random.getrandbits(PLACE_BITS)
+        if not active.request.key and self._subset.is_narrow():
+            yield from self._subset_candidates()
+        else:
+            yield from self._hashed_candidates(key)
+        start = mix64(key) % len(ready)
+        for index in range(start, start + len(ready)):
+            yield ready[index % len(ready)]
+
+    def _subset_candidates(self) -> Iterator[EndpointStatus]:
+        """Yield endpoints for a request without a key, where the node uses a subset."""
+        for draw in range(MAX_DRAW_COUNT):
+            status = self._subset.draw(self._random, prefer_own_zone=not draw % 2)
+            ratio = self._hardware_types[status.endpoint.hardware_type].hash_ratio
+            if ratio >= 1.0 or self._random.random() < ratio:
+                yield status
+
+    def _hashed_candidates(self, key: int) -> Iterator[EndpointStatus]:
+        """Yield the endpoints that a key hashes to."""
+        find, hardware_types = self._candidates.find, self._hardware_types
         fan_out = self._hot_keys.fan_out.get(key, 1)
         first = self._random.randrange(fan_out) if fan_out > 1 else 0
         for draw in range(first, first + MAX_DRAW_COUNT):
@@ -111,9 +133,6 @@
                 ratio = hardware_types[status.endpoint.hardware_type].hash_ratio
                 if ratio >= 1.0 or (place >> HASH_RATIO_SHIFT_BITS) < ratio * HASH_RATIO_SCALE:
                     yield status
-        start = mix64(key) % len(ready)
-        for index in range(start, start + len(ready)):
-            yield ready[index % len(ready)]
 
     def _load_score(self, now_ns: int, class_index: int, status: EndpointStatus) -> float:
         load = float(status.in_flight)
--- a/moleport/policy/slow_start.py
+++ b/moleport/policy/slow_start.py
@@ -7,12 +7,13 @@
 with `initial` the setting `slow_start_initial_ratio`. While the ratio is below 1, the endpoint is warming up
 and a token bucket limits its requests. The tokens fill at the rate (requests per ns)
 
-    CAPACITY_MARGIN_RATIO * capacity_ratio * warm_request_rate * weight
+    CAPACITY_MARGIN_RATIO * capacity_ratio * warm_request_rate * concentration * weight
 
-up to MAX_TOKEN_COUNT, and each attempt takes one. `warm_request_rate` is what warm endpoints answer for one
-unit of weight, a mean over windows that falls slowly (RATE_DECAY_FACTOR). While no endpoint has been seen
-warm, the arrivals of this node, spread evenly over the weight of all ready endpoints, stand in for it. A new
-bucket holds
+up to MAX_TOKEN_COUNT, and each attempt takes one. `concentration` is the part of this node's requests that
+lead to the endpoint, as a multiple of an even spread (endpoint_subset). `warm_request_rate` is what warm
+endpoints answer for one unit of weight, a mean over windows that falls slowly (RATE_DECAY_FACTOR). While no
+endpoint has been seen warm, the arrivals of this node, spread evenly over the weight of all ready endpoints,
+stand in for it. A new bucket holds
 
     max(uniform(0, 1) + CAPACITY_MARGIN_RATIO * min(1, capacity_ratio) * burst_ratio,
         min(1, FLEET_INITIAL_TOKEN_COUNT / node_count))
@@ -40,6 +41,7 @@
 
 from moleport.policy import interface as api
 from moleport.policy.endpoint_set import EndpointSet
+from moleport.policy.endpoint_subset import EndpointSubset
 from moleport.policy.hashing import WEIGHT_UNITS, to_weight_units
 from moleport.policy.outlier_detection import OutlierDetector
 from moleport.policy.state import EndpointStatus
@@ -57,8 +59,14 @@
     """Limits the requests to endpoints that are warming up."""
 
     def __init__(
-        self, settings: api.Settings, random: Random, endpoints: EndpointSet, outliers: OutlierDetector
+        self,
+        settings: api.Settings,
+        random: Random,
+        endpoints: EndpointSet,
+        outliers: OutlierDetector,
+        subset: EndpointSubset,
     ) -> None:
+        self._subset = subset
         self._initial_ratio = settings.slow_start_initial_ratio
         self._duration_ns = max(1, settings.slow_start_duration_ns)
         self._overload_multiple = settings.overload_multiple
@@ -93,6 +101,7 @@
         if ratio >= 1.0:
             return True
         request_rate = self._warm_request_rate or self._assumed_request_rate
+        request_rate *= self._subset.concentration(status)
         fill_rate = CAPACITY_MARGIN_RATIO * ratio * request_rate * status.endpoint.weight
         earned = fill_rate * (now_ns - status.slow_start_refilled_at_ns)
         status.slow_start_tokens = min(MAX_TOKEN_COUNT, status.slow_start_tokens + earned)
--- a/moleport/policy/state.py
+++ b/moleport/policy/state.py
@@ -44,6 +44,8 @@
     """When it last answered a request with success. Owner: outlier_detection."""
     listed_at_ns: int = 0
     """When this node was notified of it, or of its last start. Owner: endpoint_registry."""
+    ring_position: int = 0
+    """Its order on the ring of endpoint_subset, a hash of its id. Owner: endpoint_registry."""
     is_ready: bool = False
     """Whether it is among the ready endpoints. Owner: endpoint_registry."""
     warm_weight_units: int = 0
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -189,6 +189,14 @@
         translation.read_settings(remaining)
 
 
+def test_the_index_of_the_node_is_optional() -> None:
+    without = "".join(line for line in CONFIG.splitlines(True) if not line.startswith("SelfIndex="))
+    assert translation.read_settings(without).node_index is None
+    assert translation.read_settings(without + "SelfIndex=3\n").node_index == 3
+    with pytest.raises(SettingsError, match="SelfIndex"):
+        translation.read_settings(without + "SelfIndex=-1\n")
+
+
 def test_the_overload_window_is_optional() -> None:
     """Without it the default holds."""
     assert translation.read_settings(CONFIG).overload_window_ns == api.DEFAULT_OVERLOAD_WINDOW_NS
