Name the key in the error for a configuration of wrong types

Operators saw a traceback and exit code 1, at SIGHUP a traceback in the log, for `"Tenants": 5` (TypeError), text nested 100,000 deep (RecursionError) and a seed of Infinity (OverflowError); integers beyond 64 bits loaded and failed later without a key.

Cause: each reader knew only the errors that its author had thought of.

Change: types are checked where they are used, integers end at 64 bits, depth is limited, names have to be encodable, and an error shows at most 100 characters. Settings that the node does not read may hold anything.

The three cases now end with exit code 2 and one line.

--- a/moleport/config/node_config.py
+++ b/moleport/config/node_config.py
@@ -21,7 +21,7 @@
 
 from moleport.config.endpoints import DiscoveryUpdate, EndpointListError, parse_address, parse_update
 from moleport.config.protocol_keys import ENTRY_NAME_KEY, NodeKey, RequestClassKey, SettingKey
-from moleport.config.settings import SettingsError, SettingsReader, flatten, parse_settings
+from moleport.config.settings import SettingsError, SettingsReader, flatten, parse_settings, shown
 from moleport.policy import interface as api
 
 CONFIG_VARIABLE = "BALANCER_CONFIG"
@@ -30,6 +30,8 @@
 
 MIN_DESCRIPTOR_COUNT = 96
 """With fewer, nothing is left for clients and endpoints beside the node's own descriptors."""
+MAX_DESCRIPTOR_COUNT = 1 << 30
+"""Linux allows no more for a process."""
 
 
 class ConfigError(Exception):
@@ -95,7 +97,7 @@
             document = json.load(file)
     except OSError as problem:
         raise ConfigError(f"{CONFIG_VARIABLE} can't be read: {problem.strerror}") from None
-    except ValueError:
+    except (ValueError, RecursionError):  # the latter for text that is nested thousands deep
         raise ConfigError(f"{CONFIG_VARIABLE} is no JSON text") from None
     if not isinstance(document, dict):
         raise ConfigError(f"{CONFIG_VARIABLE} holds no JSON object")
@@ -113,12 +115,15 @@
         seed=_seed(document),
         max_descriptors=_max_descriptors(document),
         cached_endpoints=_cached_endpoints(document),
-        class_indices=_encoded_indices(_entry_names(tree, SettingKey.CLASSES)),
+        class_indices=_encoded_indices(tree, SettingKey.CLASSES),
         max_deadlines_ns=reader.entries(SettingKey.CLASSES, _max_deadline_ns),
-        tenant_indices=_encoded_indices(_entry_names(tree, SettingKey.TENANTS)),
+        tenant_indices=_encoded_indices(tree, SettingKey.TENANTS),
         zone_indices=_name_indices(tree, NodeKey.ZONES),
         hardware_type_indices=_name_indices(tree, NodeKey.HARDWARE_TYPES),
-        load_report_wire_names=tuple(word.encode() for word in reader.words(SettingKey.LOAD_REPORT_FIELDS)),
+        load_report_wire_names=tuple(
+            _encoded(word, SettingKey.LOAD_REPORT_FIELDS)
+            for word in reader.words(SettingKey.LOAD_REPORT_FIELDS)
+        ),
         connect_timeout_ns=reader.integer(NodeKey.CONNECT_TIMEOUT_NS, minimum=1),
         idle_timeout_ns=reader.integer(SettingKey.IDLE_TIMEOUT_NS, minimum=1),
         max_requests=reader.integer(NodeKey.MAX_REQUESTS, minimum=1),
@@ -140,22 +145,24 @@
     try:
         return parse_address(text)
     except EndpointListError:
-        raise ConfigError(f"{name} is no address: {text!r}") from None
+        raise ConfigError(f"{name} is no address: {shown(text)}") from None
 
 
 def _seed(document: dict[str, Any]) -> int:
     seed = document.get("seed")
     try:
         return int(seed, 16) if isinstance(seed, str) else int(seed)  # type: ignore[arg-type]
-    except (TypeError, ValueError):
-        raise ConfigError(f"seed is unreadable: {seed!r}") from None
+    except (TypeError, ValueError, OverflowError):
+        raise ConfigError(f"seed is unreadable: {shown(seed)}") from None
 
 
 def _max_descriptors(document: dict[str, Any]) -> int:
     sockets = _object(document, "limits").get("sockets")
-    if not isinstance(sockets, int) or isinstance(sockets, bool) or sockets < MIN_DESCRIPTOR_COUNT:
-        raise ConfigError(f"limits.sockets is no number from {MIN_DESCRIPTOR_COUNT}: {sockets!r}")
-    return sockets
+    if isinstance(sockets, int) and MIN_DESCRIPTOR_COUNT <= sockets <= MAX_DESCRIPTOR_COUNT:
+        return sockets
+    raise ConfigError(
+        f"limits.sockets is no number from {MIN_DESCRIPTOR_COUNT} to {MAX_DESCRIPTOR_COUNT}: {shown(sockets)}"
+    )
 
 
 def _cached_endpoints(document: dict[str, Any]) -> DiscoveryUpdate:
@@ -163,6 +170,8 @@
         return parse_update(document.get("known"))
     except EndpointListError as problem:
         raise ConfigError(f"known is unreadable: {problem}") from None
+    except RecursionError:
+        raise ConfigError("known is unreadable: it is nested too deeply") from None
 
 
 def _max_deadline_ns(reader: SettingsReader, path: str) -> int:
@@ -172,13 +181,23 @@
 def _entry_names(tree: dict[str, Any], key: str) -> list[str]:
     """Return the names in a list of objects; the flat form would not keep their spaces and commas."""
     entries = tree.get(key) or []
+    if not isinstance(entries, list):
+        raise ConfigError(f"settings: {key} is no list")
     if not all(isinstance(entry, dict) and isinstance(entry.get(ENTRY_NAME_KEY), str) for entry in entries):
         raise ConfigError(f"settings: {key} has an entry without {ENTRY_NAME_KEY}")
     return [entry[ENTRY_NAME_KEY] for entry in entries]
 
 
-def _encoded_indices(names: list[str]) -> dict[bytes, int]:
-    return {name.encode(): index for index, name in enumerate(names)}
+def _encoded_indices(tree: dict[str, Any], key: str) -> dict[bytes, int]:
+    names = _entry_names(tree, key)
+    return {_encoded(name, key): index for index, name in enumerate(names)}
+
+
+def _encoded(name: str, key: str) -> bytes:
+    try:
+        return name.encode()
+    except UnicodeEncodeError:
+        raise ConfigError(f"settings: {key} has a name that is no text: {shown(name)}") from None
 
 
 def _name_indices(tree: dict[str, Any], key: str) -> dict[str, int]:
--- a/moleport/config/settings.py
+++ b/moleport/config/settings.py
@@ -13,6 +13,10 @@
 from moleport.config.protocol_keys import RequestClassKey, SettingKey, TenantKey
 from moleport.policy import interface as api
 
+MAX_DEPTH = 64  # objects and lists in each other
+MAX_INTEGER = (1 << 63) - 1  # what the simulator's wire can hold
+MAX_SHOWN_CHARACTERS = 100  # of a value or path in an error
+
 _T = TypeVar("_T")
 _Default = TypeVar("_Default")
 
@@ -21,20 +25,26 @@
     """A setting is missing, unreadable or out of range; the text names it by its path in the protocol."""
 
 
-def flatten(tree: object, path: str = "") -> Iterator[tuple[str, str]]:
+def flatten(tree: object, path: str = "", depth: int = 0) -> Iterator[tuple[str, str]]:
     """Yield the paths and values of a settings object in the text form of the simulator's protocol.
 
     Lists of plain values are joined with commas; lists of objects have a count and a path for each index.
+    Raises SettingsError for values that are nested more than MAX_DEPTH deep.
     """
+    if depth > MAX_DEPTH:
+        raise SettingsError(f"setting {path:.{MAX_SHOWN_CHARACTERS}} is nested too deeply")
     if isinstance(tree, dict):
         for name, value in tree.items():
-            yield from flatten(value, f"{path}.{name}" if path else str(name))
+            yield from flatten(value, f"{path}.{name}" if path else str(name), depth + 1)
     elif isinstance(tree, list) and tree and isinstance(tree[0], dict):
         yield f"{path}.count", str(len(tree))
         for index, value in enumerate(tree):
-            yield from flatten(value, f"{path}.{index}")
+            yield from flatten(value, f"{path}.{index}", depth + 1)
     elif isinstance(tree, list):
-        yield path, ",".join(str(value) for value in tree)
+        try:
+            yield path, ",".join(str(value) for value in tree)
+        except RecursionError:
+            raise SettingsError(f"setting {path} is nested too deeply") from None
     elif isinstance(tree, bool):
         yield path, str(tree).lower()
     else:
@@ -63,10 +73,12 @@
         return self._values[path]
 
     def integer(self, path: str, minimum: int = 0) -> int:
-        """Return an integer of at least the minimum."""
+        """Return an integer from the minimum to MAX_INTEGER."""
         value = self._parse(path, int)
         if value < minimum:
-            raise SettingsError(f"setting {path} is below {minimum}: {value}")
+            raise SettingsError(f"setting {path} is below {minimum}: {shown(value)}")
+        if value > MAX_INTEGER:
+            raise SettingsError(f"setting {path} is above {MAX_INTEGER}: {shown(value)}")
         return value
 
     def number(self, path: str) -> float:
@@ -77,7 +89,7 @@
         """Return the meaning of a setting that has to be one of these words."""
         text = self.text(path)
         if text not in meanings:
-            raise SettingsError(f"setting {path} is unreadable: {text!r}")
+            raise SettingsError(f"setting {path} is unreadable: {shown(text)}")
         return meanings[text]
 
     def flag(self, path: str) -> bool:
@@ -97,7 +109,12 @@
         try:
             return parse(text)
         except (ValueError, OverflowError):
-            raise SettingsError(f"setting {path} is unreadable: {text!r}") from None
+            raise SettingsError(f"setting {path} is unreadable: {shown(text)}") from None
+
+
+def shown(value: object) -> str:
+    """Return a value as it stands in an error: short, and without what can't be encoded."""
+    return ascii(value)[:MAX_SHOWN_CHARACTERS]
 
 
 def parse_settings(values: Mapping[str, str]) -> api.Settings:
--- /dev/null
+++ b/tests/config/test_node_config.py
@@ -0,0 +1,124 @@
+"""A configuration document loads, or the error names the key that is at fault."""
+
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from rig import Server, configuration
+
+from moleport.config.node_config import Config, ConfigError, load
+from moleport.node.connection_pools import ConnectionPools
+from moleport.node.node_factory import max_client_connections
+from moleport.policy import Balancer
+
+SERVER = Server("s-1")
+SERVER.address = "127.0.0.1:3000"
+DOCUMENT = configuration(SERVER)
+DOCUMENT["settings"]["Tenants"] = [{"Name": "one", "Share": 0.5}]
+
+
+def nested(depth: int) -> Any:
+    value: Any = 1
+    for _ in range(depth):
+        value = [value]
+    return value
+
+
+def load_text(text: str) -> Config:
+    with TemporaryDirectory() as folder:
+        path = Path(folder, "config.json")
+        path.write_text(text, encoding="utf-8", errors="surrogatepass")
+        return load({"BALANCER_CONFIG": str(path)})
+
+
+def paths(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Return the path of each value in a document, without that of the document itself."""
+    items = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    found = [path] if path else []
+    for key, inner in items:
+        found += paths(inner, (*path, key))
+    return found
+
+
+PATHS = paths(DOCUMENT)
+VALUES = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(),
+    st.sampled_from([2**31, 2**63, 10**30, 10**400, -1, 0]),
+    st.floats(),
+    st.text(max_size=5),
+    st.sampled_from(["\ud800", "1e999", "nan", "0x10", ",", "\x00", "127.0.0.1:70000"]),
+    st.lists(st.one_of(st.integers(), st.text(max_size=3), st.dictionaries(st.text(max_size=3), st.none()))),
+    st.dictionaries(st.text(max_size=5), st.integers(), max_size=2),
+    st.sampled_from([{"count": 10**9}, nested(20), nested(200)]),
+)
+
+
+def changed(document: dict[str, Any], path: tuple[Any, ...], value: Any) -> dict[str, Any]:
+    document = copy.deepcopy(document)
+    holder: Any = document
+    for key in path[:-1]:
+        holder = holder[key]
+    holder[path[-1]] = value
+    return document
+
+
+@hypothesis_settings(max_examples=600, deadline=None, database=None, derandomize=True)
+@given(st.sampled_from(PATHS), VALUES)
+def test_a_changed_document_is_usable_or_its_error_names_the_key(path: tuple[Any, ...], value: Any) -> None:
+    try:
+        config = load_text(json.dumps(changed(DOCUMENT, path, value)))
+    except ConfigError as error:
+        keys = [str(key) for key in path if isinstance(key, str)]
+        assert any(key in str(error) for key in keys), (path, value, error)
+        assert len(str(error)) < 400
+        str(error).encode()  # it is written to the log
+        return
+    Balancer(config.policy_settings, config.seed).start(1)
+    ConnectionPools(10, config.connect_timeout_ns, config.idle_timeout_ns)
+    assert max_client_connections(config.max_descriptors) > 0
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (("settings", "Tenants"), 5, "Tenants"),
+        (("settings", "Grades"), 5, "Grades"),
+        (("settings", "Grades"), "page", "Grades"),
+        (("settings", "Grades", 0, "Name"), "\ud800", "Grades"),
+        (("settings", "Feedback", "Fields"), ["\ud800"], "Feedback.Fields"),
+        (("settings", "Limits", "IdleClose"), 10**400, "Limits.IdleClose"),
+        (("limits", "sockets"), 10**400, "limits.sockets"),
+        (("seed",), float("inf"), "seed"),
+        (("seed",), float("nan"), "seed"),
+    ],
+    ids=range(9),
+)
+def test_an_error_names_the_key(path: tuple[Any, ...], value: Any, named: str) -> None:
+    with pytest.raises(ConfigError, match=named):
+        load_text(json.dumps(changed(DOCUMENT, path, value)))
+
+
+def test_settings_that_the_node_does_not_know_may_hold_anything() -> None:
+    document = copy.deepcopy(DOCUMENT)
+    document["settings"]["Other"] = {"a": [nested(20), {"b": None}], "c": [{"d": [[]]}, 5]}
+    assert load_text(json.dumps(document)) == load_text(json.dumps(DOCUMENT))
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["[" * 100_000, '{"settings":' * 100_000, "", "5", "[]", "\ud800"],
+    ids=["deep list", "deep object", "empty", "number", "list", "surrogate"],
+)
+def test_a_file_that_holds_no_object_is_reported(text: str) -> None:
+    with pytest.raises(ConfigError, match="BALANCER_CONFIG"):
+        load_text(text)
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -268,8 +268,15 @@
                 path = tmp_path / "config.json"
                 stderr = node.process.stderr
                 assert stderr is not None
-                unusable = json.dumps(document | {"discovery": 5})
-                for text, word in (("{", b"BALANCER_CONFIG"), (unusable, b"discovery")):
+                wrong_type = {**document["settings"], "Tenants": 5}
+                unusable = (
+                    ("{", b"BALANCER_CONFIG"),
+                    ("[" * 100_000, b"BALANCER_CONFIG"),
+                    (json.dumps(document | {"discovery": 5}), b"discovery"),
+                    (json.dumps(document | {"settings": wrong_type}), b"Tenants"),
+                    (json.dumps(document | {"seed": float("inf")}), b"seed"),
+                )
+                for text, word in unusable:
                     path.write_text(text)
                     node.process.send_signal(signal.SIGHUP)
                     assert word in await asyncio.wait_for(stderr.readline(), PATIENCE)
@@ -492,6 +499,8 @@
         (_with("here", "listen"), "listen"),
         (_with("10.0.0.1:port", "discovery"), "discovery"),
         (_with("xyz", "seed"), "seed"),
+        (_with(float("inf"), "seed"), "seed"),
+        (_with(5, "settings", "Tenants"), "Tenants"),
         (_with(3, "limits", "sockets"), "limits.sockets"),
         (_without("limits"), "limits"),
         (_with({"version": 1}, "known"), "known"),
@@ -524,7 +533,7 @@
     run(test())
 
 
-@pytest.mark.parametrize("text", [None, "{", "[]"])
+@pytest.mark.parametrize("text", [None, "{", "[]", "[" * 100_000], ids=["none", "cut", "list", "deep"])
 def test_a_missing_or_malformed_configuration_file_is_reported(text: str | None, tmp_path: Path) -> None:
     """One line names BALANCER_CONFIG, and the process ends with 2."""
     path = tmp_path / "config.json"
