Limit heads that come in one piece, and drop trailers of responses

Servers' response heads of 120 KB, clients' request heads of 17 KB were forwarded, where 16 KB are allowed, if they came in one piece. A response whose trailer said X-Not-Run: 1 counted as not executed and would have been retried.

Cause: bytes were counted between reads and only while the head was incomplete; a request is parsed 4 KB at a time. Trailers come by the HTTP parser's callback for headers, and the response parser did not look where it stood. (Two faults of one callback, so one commit.)

Evidence: seven new cases failed before (four heads and trailers of responses, one trailer with X-Not-Run, two heads of requests).

--- a/moleport/node/http_limits.py
+++ b/moleport/node/http_limits.py
@@ -4,6 +4,7 @@
 
 MAX_BODY_BYTES = 64 << 10
 MAX_HEAD_BYTES = 16 << 10
+HEADER_LINE_BYTES = 4  # of a header line, without name and value
 HOP_BY_HOP_HEADERS = frozenset(
     (
         b"connection",
--- a/moleport/node/response_parser.py
+++ b/moleport/node/response_parser.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from moleport.node.http_limits import HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES
+from moleport.node.http_limits import HEADER_LINE_BYTES, HOP_BY_HOP_HEADERS, MAX_BODY_BYTES, MAX_HEAD_BYTES
 
 MAX_INTERIM_COUNT = 16  # 1xx responses ahead of the final one
 MIN_FINAL_STATUS = HTTPStatus.OK.value
@@ -37,6 +37,7 @@
     __slots__ = (
         "_body",
         "_ends_with_connection",
+        "_header_bytes",
         "_headers",
         "_http_parser",
         "_in_head",
@@ -66,6 +67,7 @@
         """Forget the previous message, which may be an interim response ahead of the final one."""
         self.status = 0
         self._size = 0  # bytes of the head or the body so far
+        self._header_bytes = 0  # of the status line, the headers and the trailers
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._load_report = b""
@@ -120,8 +122,18 @@
         if self._interim_count:
             self._start_message()
 
+    def on_status(self, reason: bytes) -> None:
+        """Count the reason phrase."""
+        self._count_header_bytes(len(reason))
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep an end-to-end header, and interpret those that frame the body or are meant for this node."""
+        """Keep an end-to-end header, and interpret those that frame the body or are meant for this node.
+
+        A trailer is counted and dropped.
+        """
+        self._count_header_bytes(len(name) + len(value) + HEADER_LINE_BYTES)
+        if not self._in_head:
+            return
         lower = name.lower()
         if lower == b"x-load":
             self._load_report = value
@@ -140,6 +152,14 @@
         elif lower not in HOP_BY_HOP_HEADERS:
             self._headers.append((name, value))
 
+    def _count_header_bytes(self, size: int) -> None:
+        """Limit a head that comes in one piece, of which `feed` counts nothing, and the trailers."""
+        self._header_bytes += size
+        if self._header_bytes > MAX_HEAD_BYTES:
+            raise InvalidResponseError(
+                f"response head of over {self._header_bytes} bytes exceeds {MAX_HEAD_BYTES}"
+            )
+
     def on_headers_complete(self) -> None:
         """Take the status, and determine how the body ends."""
         assert self._http_parser is not None
--- a/tests/node/test_clients.py
+++ b/tests/node/test_clients.py
@@ -119,6 +119,11 @@
     "another coding": (raw("Transfer-Encoding: gzip, chunked", body=b"0\r\n\r\n"), 501),
     "chunk size": (raw("Transfer-Encoding: chunked", body=b"zz\r\n"), 400),
     "no HTTP": (b"hello\r\n\r\n", 400),
+    "long head in one piece": (raw("X-Long: " + "x" * 17_000, "Content-Length: 0"), 431),
+    "long target": (
+        b"GET /api?" + b"x" * 17_000 + b" HTTP/1.1\r\nX-Request-Id: 1\r\nX-Class: page\r\n\r\n",
+        431,
+    ),
     "long header": (b"GET /api HTTP/1.1\r\nX-Long: " + b"x" * 70000, 431),
 }
 
--- a/tests/node/test_response_parser.py
+++ b/tests/node/test_response_parser.py
@@ -13,6 +13,7 @@
 )
 
 INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+CHUNKED = b"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSE = b"HTTP/1.1 200 OK\r\nX-Load: load=1\r\nETag: a\r\nContent-Length: 5\r\n\r\nframe"
 
 
@@ -54,6 +55,11 @@
         ),
         (b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * (MAX_BODY_BYTES + 1), f"exceeds {MAX_BODY_BYTES}"),
         (b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * MAX_HEAD_BYTES, f"exceeds {MAX_HEAD_BYTES}"),
+        # The same, with the whole head in one piece.
+        (b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * MAX_HEAD_BYTES + b"\r\n\r\n", f"exceeds {MAX_HEAD_BYTES}"),
+        (b"HTTP/1.1 200 OK\r\n" + b"X-Pad: p\r\n" * 12_000 + b"\r\n", f"exceeds {MAX_HEAD_BYTES}"),
+        (b"HTTP/1.1 200 " + b"O" * (MAX_HEAD_BYTES + 1) + b"\r\n\r\n", f"exceeds {MAX_HEAD_BYTES}"),
+        (CHUNKED + b"0\r\n" + b"X-Pad: p\r\n" * 12_000 + b"\r\n", f"exceeds {MAX_HEAD_BYTES}"),
         (INTERIM * (MAX_INTERIM_COUNT + 1), f"more than {MAX_INTERIM_COUNT} interim responses"),
     ],
 )
@@ -88,3 +94,18 @@
     data: bytes, expected: bool
 ) -> None:
     assert parse(data).may_end_with_connection() is expected
+
+
+def test_a_head_of_the_longest_size_is_accepted() -> None:
+    pad = b"X-Pad: " + b"p" * (MAX_HEAD_BYTES - 100)
+    parser = parse(b"HTTP/1.1 200 OK\r\n" + pad + b"\r\nContent-Length: 0\r\n\r\n")
+    assert parser.is_complete
+    assert parser.response().headers == [(b"X-Pad", b"p" * (MAX_HEAD_BYTES - 100))]
+
+
+def test_a_trailer_says_nothing_of_the_response() -> None:
+    """A server states in the head that it did not execute a request."""
+    parser = parse(CHUNKED + b"0\r\nX-Not-Run: 1\r\nX-Load: load=1\r\nETag: a\r\n\r\n")
+    assert parser.is_complete
+    assert not parser.is_not_executed
+    assert parser.response() == ServerResponse(503, [], b"", b"")
