Keep start times while entries of a long update are pending

Servers would have been overdriven: a node that gets a first list of over 1,024 endpoints (1,300 and 7,200 tried) took all of them for warm, though all had just started.

Cause: start times are recorded as an update arrives and its entries applied in slices; after each slice ServerStartTimes.forget_removed dropped those of the entries not applied yet. They are kept while entries are pending.

Evidence: both cases of the new test failed before (every start was 0).

--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -192,7 +192,8 @@
         self._dispatch_event(api.EndpointUpdate(kind, endpoints))
         for endpoint_id in retired_ids:
             self._pools.retire_endpoint(endpoint_id)
-        self._start_times.forget_removed(self._known)
+        if not self._pending:  # else known servers seem to be removed
+            self._start_times.forget_removed(self._known)
 
     def _to_policy_endpoint(self, endpoint: DiscoveredEndpoint) -> api.Endpoint:
         """Translate an entry; names of zones and hardware types that are not configured share one index."""
--- a/tests/node/test_endpoint_list.py
+++ b/tests/node/test_endpoint_list.py
@@ -203,3 +203,18 @@
             assert ready_in_policy(rig) == rig.node._ready_endpoint_ids == ids(range(MANY))
 
     run(test())
+
+
+@pytest.mark.parametrize("count", [1300, MANY])
+def test_all_servers_of_a_long_first_update_are_in_slow_start(count: int) -> None:
+    """Their start times are kept while their entries are pending."""
+
+    async def test() -> None:
+        async with Rig(configuration_with([])) as rig:
+            rig.node.endpoint_list.on_update(update(entries(range(count), started_ms=1_790_000_000_000)))
+            await wait_until_applied(rig)
+            started = [one.started_at_ns for one in policy_endpoints(rig).values()]
+            assert len(started) == count
+            assert all(started)
+
+    run(test())
