Report no negative duration of an attempt that began within a hold

Cause: a heartbeat's delay counts as a hold once it exceeds 20 ms, and then whole, also the part before the attempt began. Its duration is 0 at least.

Evidence: the new test gave -21.7 ms before.

--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -162,7 +162,8 @@
     ) -> None:
         """Send a final response to the client, if there is one, and report the outcome to the policy."""
         request = self._active[attempt.request_number]
-        elapsed_ns = monotonic_ns() - self._hold_detector.stalled_ns() - attempt.effective_start_ns
+        # A hold is subtracted whole, also the part of it before the attempt's start.
+        elapsed_ns = max(0, monotonic_ns() - self._hold_detector.stalled_ns() - attempt.effective_start_ns)
         if result not in NOT_EXECUTED and not request.first_execution_ns:
             request.first_execution_ns = attempt.written_at_ns or monotonic_ns()
         del request.attempts[attempt.index]
--- a/tests/node/test_holds.py
+++ b/tests/node/test_holds.py
@@ -10,6 +10,9 @@
 from rig import Discovery, Message, Rig, Server, answer, configuration, request, reset, run, status, until
 from test_process import program
 
+from moleport.node.hold_detector import HoldDetector
+from moleport.units import NS_PER_MS
+
 HOLD_CLIENTS = 8
 HOLD_COUNT = 6
 DISCONNECT_DELAY_S = 0.02  # from a client's request
@@ -210,3 +213,19 @@
                 assert {status(await client.read()) for client in clients} == {200}
 
     run(test())
+
+
+def test_an_attempt_that_begins_within_a_hold_has_no_negative_duration(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A heartbeat that is overdue by 15 ms as the attempt starts is overdue by 22 ms as it ends."""
+    stalls_ns = iter([0, 22 * NS_PER_MS])
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            monkeypatch.setattr(HoldDetector, "stalled_ns", lambda _: next(stalls_ns, 22 * NS_PER_MS))
+            assert status(await (await rig.client()).ask(request())) == 200
+            (outcome,) = rig.spy.outcomes()
+            assert 0 <= outcome.elapsed_ns < 22 * NS_PER_MS
+
+    run(test())
