Don't blame a server for time that an attempt waited at the node

Callers found good servers ejected after a hold: an attempt that waited for permission until the endpoint list was read, and whose time was then used up, ended as CONNECT_FAILED, which counts against its server.

Cause: the result was named after the unwritten request, not after what took the time.

--- a/moleport/node/attempt.py
+++ b/moleport/node/attempt.py
@@ -299,8 +299,9 @@
         if remaining_ns <= 0 or is_write_overdue:
             self._owner.record_attempt_event(self, Event.ATTEMPT_STOPPED_TOO_LATE)
             self.pool.return_unused(connection)
-            # A passed write deadline is no fault of the server.
-            self.end(AttemptResult.NOT_SENT if is_write_overdue else AttemptResult.CONNECT_FAILED)
+            # Neither a passed write deadline nor time spent waiting here is the server's fault.
+            is_own_delay = is_write_overdue or self._permission_timer is not None
+            self.end(AttemptResult.NOT_SENT if is_own_delay else AttemptResult.CONNECT_FAILED)
             return
         self._connection = connection
         self._enter(AttemptState.IN_FLIGHT)
@@ -349,7 +350,7 @@
         """End the attempt with the result that fits how far it got."""
         if self._is_written():
             self.end(AttemptResult.TIMEOUT)
-        elif self._local_fault_count:
+        elif self._local_fault_count or self._state is AttemptState.CONNECTED:
             self.end(AttemptResult.NOT_SENT)
         else:
             self.end(AttemptResult.CONNECT_FAILED)
--- a/tests/node/test_attempt_states.py
+++ b/tests/node/test_attempt_states.py
@@ -12,10 +12,14 @@
 from rig import PATIENCE, Client, Message, Rig, Server, answer, configuration, request, run, status, until
 
 from moleport.config.endpoints import parse_update
-from moleport.node.attempt import Attempt
+from moleport.node.attempt import Attempt, WritePermission
+from moleport.node.attempt_supervisor import AttemptSupervisor
 from moleport.node.connection_pool import ConnectionPool
 from moleport.node.invariants import Invariant
+from moleport.node.name_hashing import hash_name
+from moleport.policy import interface as api
 from moleport.policy.interface import AttemptResult
+from moleport.units import NS_PER_MS
 
 
 class FailingLoop(uvloop.Loop):
@@ -119,3 +123,38 @@
             assert not any(pool.unsent for pool in retired)
 
     run(test())
+
+
+@pytest.mark.parametrize("connection", ["idle", "new"])
+@pytest.mark.parametrize("limit", ["deadline", "attempt"])
+def test_time_used_up_waiting_for_permission_is_not_the_server_s_fault(
+    connection: str, limit: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After a hold an attempt waits until the endpoint list is read."""
+    authorize_write = AttemptSupervisor.authorize_write
+    permitted: list[bool] = []
+
+    def wait(self: AttemptSupervisor, attempt: Attempt) -> WritePermission:
+        if not permitted and not (connection == "new" and attempt._new_connection is None):
+            return WritePermission.WAIT
+        return authorize_write(self, attempt)
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            if connection == "idle":
+                assert status(await client.ask(request())) == 200
+            before = len(rig.spy.outcomes())
+            monkeypatch.setattr(AttemptSupervisor, "authorize_write", wait)
+            if limit == "attempt":
+                decided = [api.Forward(before + 1, hash_name("s-1"), 50 * NS_PER_MS)]
+                rig.spy.instead = lambda event: decided if isinstance(event, api.Request) else None
+            client.writer.write(request("order", X_Deadline="60m" if limit == "deadline" else "5000m"))
+            await asyncio.sleep(0.07)
+            permitted.append(True)
+            assert status(await client.read()) in (503, 504)
+            results = [one.result for one in rig.spy.outcomes()[before:]]
+            assert AttemptResult.CONNECT_FAILED not in results
+            assert len(server.seen) == before
+
+    run(test())
