Let the soak cross shutdowns with use, series of signals, crowds and odd answers

SIGTERM and SIGHUP come in series 0 to 5 ms apart. In three runs of ten idle clients crowd a node's descriptors. Servers answer rare statuses, reasons, headers, heads of 20 KB and trailers.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,8 @@
 BEAT = 0.005  # s, of the driver, which so measures its own lateness
 ERRNOS = (12, 23, 24, 99, 100, 101, 103, 105, 113)  # ENOMEM to EHOSTUNREACH, as a node's own faults
 ENDS_WITHIN = 30.0  # s after the load
+CROWDED_RUNS_RATIO = 0.3
+CROWD_CLIENTS = 200  # of a node with 256 descriptors
 STEPS_MS = (-3_600_000, -2_000, 2_000, 3_600_000)
 
 
@@ -87,6 +90,7 @@
         self.troubles: Counter[str] = Counter()
         self._random = random.Random(seed)
         self._span = span
+        self._has_crowds = self._random.random() < CROWDED_RUNS_RATIO
         self._servers = [Server(f"s-{n}", self.record, seed + n) for n in range(max(6, nodes))]
         self._proxies = [FaultProxy(server) for server in self._servers]
         document = configuration(nodes)
@@ -170,10 +174,20 @@
             await asyncio.sleep(self._random.uniform(0.0, 0.2))
 
     async def _restart(self, node: NodeProcess) -> None:
-        await node.restart(kill=self._random.random() < 0.3)
+        await node.restart(kill=self._random.random() < 0.3, random=self._random)
 
     async def _reload(self, node: NodeProcess) -> None:
-        await node.reload(half_written=self._random.random() < 0.5)
+        await node.reload(half_written=self._random.random() < 0.5, random=self._random)
+
+    async def _crowd(self, node: NodeProcess) -> None:
+        """Idle clients take the node's descriptors for a while."""
+        writers = []
+        for _ in range(CROWD_CLIENTS):
+            with suppress(OSError):
+                writers.append((await asyncio.open_connection("127.0.0.1", node.port))[1])
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        for writer in writers:
+            writer.close()
 
     async def _fail_calls(self, node: NodeProcess) -> None:
         field = self._random.choice(("accept_errno", "connect_errno"))
@@ -224,6 +238,8 @@
             ("step_clocks", lambda: self._step_clocks(node)),
             ("lose_agent", lambda: self._exclusively(node, self._lose_agent)),
         ]
+        if self._has_crowds:
+            troubles.append(("crowd", lambda: self._crowd(node)))
         name, trouble = self._random.choice(troubles)
         if name == "retire" and server.server.state != "Ready":
             return
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -33,7 +33,8 @@
         while time.monotonic() < end:
             await asyncio.sleep(self._random.choice((0.01, 0.05, 0.2, 0.7, 2.4)))
             if not self._node.up:
-                self._forget()
+                # The node is ending, or down: what is open is used until it is closed.
+                await self._ask()
                 continue
             if self._random.random() < STRAYS_PART:
                 await self._stray()
@@ -59,7 +60,7 @@
         for fresh in (False, True):
             if fresh or self._stream is None or self._stream[0].at_eof():
                 self._forget()
-                self._stream = await self._connect()
+                self._stream = await self._connect() if self._node.up else None
             if self._stream is None:
                 return
             reader, writer = self._stream
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -11,6 +11,7 @@
 import time
 from contextlib import suppress
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from soak.oracle import Record, Violation
@@ -19,8 +20,12 @@
 
 LISTEN_PORTS = range(15_000, 30_000)  # below those that Linux gives to connections
 READY_WITHIN = 10.0  # s
-LONGEST_DEADLINE = 3.0  # s that the platform waits at least, after SIGTERM
-KILLED_AFTER = LONGEST_DEADLINE + 0.7  # s after SIGTERM
+MAX_DEADLINE_SECONDS = 3.0  # a longer deadline is taken for this
+KILL_DELAY_SECONDS = 0.7  # from the end of the longest deadline to SIGKILL, at least
+NEW_CONNECTIONS_SECONDS = 0.3  # after SIGTERM in which the front sends new connections
+MAX_SIGNAL_GAP_SECONDS = 0.005  # in a series
+MAX_SERIES_SIGNALS = 4
+NS_PER_S = 10**9
 ENDING_FAULTS = ("Traceback", "invariant violated", "the policy failed", "action failed")
 
 
@@ -41,7 +46,7 @@
         self.port = free_port()
         self.agents = [Agent(), Agent()]
         self.agent = 0  # which of them its configuration names
-        self.up = False
+        self.up = False  # the front sends it new connections
         self.told_from = 0.0  # nothing counts as told to it before
         self.violations: list[Violation] = []
         self._folder = folder
@@ -51,6 +56,8 @@
         self._path = folder / f"{name}.json"
         self.faults = Faults(folder / f"{name}.faults")
         self._process: asyncio.subprocess.Process | None = None
+        deadlines = [one["Deadline"] / NS_PER_S for one in document["settings"]["Grades"]]
+        self._kill_after_s = min(MAX_DEADLINE_SECONDS, max(deadlines)) + KILL_DELAY_SECONDS
 
     def configuration(self) -> str:
         agent = f"127.0.0.1:{self.agents[self.agent].port}"
@@ -92,8 +99,17 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
-    async def restart(self, kill: bool) -> None:
-        """A planned restart, or a kill; down for a moment either way."""
+    async def send_series(self, numbers: list[signal.Signals], random: Random) -> None:
+        """Send signals a few ms apart."""
+        for number in numbers:
+            self.send(number)
+            await asyncio.sleep(random.uniform(0.0, MAX_SIGNAL_GAP_SECONDS))
+
+    async def restart(self, kill: bool, random: Random) -> None:
+        """A planned restart, or a kill; down for a moment either way.
+
+        SIGTERM comes among other signals. Clients use the connections that they have until the process ends.
+        """
         process = self._process
         assert process is not None
         if kill:
@@ -101,8 +117,10 @@
             self._record.killed[self.name].append(time.monotonic())
             self.send(signal.SIGKILL)
         else:
-            self.send(signal.SIGTERM)
-            await asyncio.sleep(0.3)  # clients go on coming
+            before = [signal.SIGHUP] * random.randrange(MAX_SERIES_SIGNALS)
+            behind = random.choices((signal.SIGTERM, signal.SIGHUP), k=random.randrange(MAX_SERIES_SIGNALS))
+            await self.send_series([*before, signal.SIGTERM, *behind], random)
+            await asyncio.sleep(NEW_CONNECTIONS_SECONDS)
             self.up = False
         await self._wait_for_end(process)
         if not kill and process.returncode != 0:
@@ -115,8 +133,11 @@
         await asyncio.sleep(span)
         self.send(signal.SIGCONT)
 
-    async def reload(self, half_written: bool) -> None:
-        """A new configuration moves it to its other agent; the old one ends its watches a little later."""
+    async def reload(self, half_written: bool, random: Random) -> None:
+        """A new configuration moves it to its other agent; the old one ends its watches a little later.
+
+        Some reloads come as a series of signals.
+        """
         old = self.agents[self.agent]
         self.agent = 1 - self.agent
         text = self.configuration()
@@ -125,7 +146,7 @@
             self._path.write_text(text[: len(text) // 2])
         else:
             self._path.write_text(text)
-        self.send(signal.SIGHUP)
+        await self.send_series([signal.SIGHUP] * random.randrange(1, MAX_SERIES_SIGNALS), random)
         if half_written:
             await asyncio.sleep(0.2)
             self._path.write_text(text)
@@ -149,9 +170,9 @@
         await self._wait_for_end(process)
 
     async def _wait_for_end(self, process: asyncio.subprocess.Process) -> None:
-        """As long as the platform does; then it is killed, which is a violation."""
+        """Wait for as long as the platform does at least; then it is killed, which is a violation."""
         try:
-            await asyncio.wait_for(process.wait(), KILLED_AFTER)
+            await asyncio.wait_for(process.wait(), self._kill_after_s)
         except TimeoutError:
             self.violations.append(Violation("end", self.name, "did not end after SIGTERM"))
             self.send(signal.SIGKILL)
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,13 +13,20 @@
 from soak.oracle import Attempt, Record
 
 CHUNK = 1 << 16
+FAILURES = {
+    "refuse": b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    "error": b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+    "garbage": b"HTTP/1.1 20\x00 ?\r\n\r\n",
+    "trailer": b"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Not-Run: 1\r\n\r\n",
+}
+"""Responses by behaviour."""
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection by a reset, if it has not ended."""
     if writer.get_extra_info("socket") is None:
         return
-    with suppress(OSError, RuntimeError):
+    with suppress(OSError, RuntimeError, ValueError):  # the last one if its descriptor is closed already
         own = writer.get_extra_info("socket")
         own.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
     writer.transport.abort()
@@ -36,7 +43,20 @@
 class Server:
     """Answers requests, as its behaviour tells, and records each that has arrived whole."""
 
-    behaviours = ("serve", "slow", "hang", "refuse", "reset", "no_length", "cut", "garbage", "close", "error")
+    behaviours = (
+        "serve",
+        "slow",
+        "hang",
+        "refuse",
+        "reset",
+        "no_length",
+        "cut",
+        "garbage",
+        "close",
+        "error",
+        "odd",
+        "trailer",
+    )
 
     def __init__(self, name: str, record: Record, seed: int) -> None:
         self.name = name
@@ -90,32 +110,45 @@
             return False
         whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         unframed = b"HTTP/1.1 200 OK\r\n\r\n" + body
-        if behaviour == "refuse":
-            attempt.ran = False
-            writer.write(b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-        elif behaviour == "error":
-            writer.write(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
-        elif behaviour == "reset":
+        if behaviour == "reset":
             reset(writer)
-            return False
-        elif behaviour == "garbage":
-            writer.write(b"HTTP/1.1 20\x00 ?\r\n\r\n")
         elif behaviour == "no_length":
             writer.write(unframed)
-            return False
         elif behaviour == "cut":
             writer.write(self._random.choice((whole, unframed))[: -self._random.randrange(1, 20)])
             await writer.drain()
             await asyncio.sleep(0.005)
             reset(writer)
-            return False
         elif behaviour == "close":
             writer.write(whole)
             await asyncio.sleep(self._random.uniform(0.0, 0.02))
-            return False
         else:
-            writer.write(whole)
-        return True
+            attempt.ran = behaviour != "refuse"
+            writer.write(self._failure(behaviour) or whole)
+            return True
+        return False
+
+    def _failure(self, behaviour: str) -> bytes:
+        """Return the response of a behaviour that fails and keeps the connection; empty for any other."""
+        if behaviour == "odd":
+            return self._odd_response()
+        return FAILURES.get(behaviour, b"")
+
+    def _odd_response(self) -> bytes:
+        """Return a whole response with a rare status, reason or header."""
+        status = self._random.choice((b"204", b"304", b"418", b"419", b"430", b"451", b"499", b"599", b"999"))
+        reason = self._random.choice((b"", b" ", b" \xe9\xff", b" " + b"R" * 300))
+        header = self._random.choice(
+            (
+                b"",
+                b"X-Empty:\r\n",
+                b"x-odd-\x7e: \xff\xfe\r\n",
+                b"Retry-After: never\r\n",
+                b"X-Load: =,=,\r\n",
+                b"X-Long: " + b"y" * 20_000 + b"\r\n",
+            )
+        )
+        return b"HTTP/1.1 %s%s\r\n%sContent-Length: 0\r\n\r\n" % (status, reason, header)
 
     def stop_all(self) -> None:
         """Reset all its connections, as when its process dies."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -75,8 +75,8 @@
 
 
 def test_a_short_soak_of_real_processes_breaks_no_rule() -> None:
-    """Three nodes, eight seconds, one seed."""
-    command = [sys.executable, "-m", "soak", "--seeds", "7", "7", "--nodes", "3", "--span", "8"]
-    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=80, check=False)
+    """Four nodes, twelve seconds, three seeds, of which one has crowds."""
+    command = [sys.executable, "-m", "soak", "--seeds", "7", "9", "--nodes", "4", "--span", "12"]
+    run = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=150, check=False)
     assert run.returncode == 0, run.stdout + run.stderr
     assert '"violations": {}' in run.stdout
