Report the right attempt for a request that has ended meanwhile

Callers would be rejected early: an attempt that the policy decided on for a request that the node no longer held was reported as attempt 0. The policy had that one's result, and counted the real one against the cap for good. Forced by a test; no order of events on sockets was found that leads there.

Cause: the number of attempts went with the request. All numbers are reported now; the policy ignores those that have ended.

Evidence: the new test left one attempt in flight before.

--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -46,7 +46,9 @@
         """Start the next attempt of a request, or report at once that it was not sent."""
         request = self._active.get(action.request_id)
         if request is None:
-            self._report_not_sent(action.request_id, True, action.endpoint_id, 0)
+            # Its attempts so far are not known here any more; the policy ignores those that have ended.
+            for index in range(self._max_attempts):
+                self._report_not_sent(action.request_id, True, action.endpoint_id, index)
             return
         index = request.attempt_count
         request.attempt_count += 1
--- a/tests/node/test_attempt_states.py
+++ b/tests/node/test_attempt_states.py
@@ -9,7 +9,20 @@
 
 import pytest
 import uvloop
-from rig import PATIENCE, Client, Message, Rig, Server, answer, configuration, request, run, status, until
+from rig import (
+    PATIENCE,
+    Client,
+    Message,
+    Rig,
+    Server,
+    answer,
+    configuration,
+    request,
+    run,
+    says,
+    status,
+    until,
+)
 
 from moleport.config.endpoints import parse_update
 from moleport.node.attempt import Attempt, WritePermission
@@ -158,3 +171,25 @@
             assert len(server.seen) == before
 
     run(test())
+
+
+def test_a_retry_of_a_request_that_has_ended_meanwhile_leaves_nothing_in_flight() -> None:
+    """The policy counted it as in flight for good, as it was reported as the first attempt."""
+
+    async def test() -> None:
+        one, two = Server("s-1", says(answer(500))), Server("s-2", says(answer(500)))
+        async with one, two, Rig(configuration(one, two)) as rig:
+
+            def end_request(event: api.Event) -> None:
+                if isinstance(event, api.AttemptOutcome) and event.attempt_index == 0:
+                    rig.node.requests.active.pop(event.request_id, None)
+
+            rig.spy.instead = end_request
+            client = await rig.client()
+            client.writer.write(request())
+            await until(lambda: len(rig.spy.outcomes()) > 1)
+            assert len(one.seen) + len(two.seen) == 1
+            rig.node._dispatch_event(api.ClientDisconnected(1))
+            assert rig.node.attempts_in_flight_by_policy() == 0
+
+    run(test())
