Send the policy the whole list after it failed on an update

Callers would be kept from new servers, and their requests decided to removed ones (the node stops these), until a restart: an exception of the policy on an endpoint update was logged and the update lost, while the node's own list had it. No update is known on which the policy fails.

Change: the whole list follows after 1 s, again after each further failure; failures of the policy are counted (policy_failed).

--- a/moleport/node/dispatcher.py
+++ b/moleport/node/dispatcher.py
@@ -26,7 +26,7 @@
 from moleport.node.request import RequestRegistry
 from moleport.policy import Balancer
 from moleport.policy import interface as api
-from moleport.telemetry import Telemetry
+from moleport.telemetry import Event, Telemetry
 
 log = logging.getLogger(__name__)
 
@@ -115,19 +115,22 @@
     def _handle(self, event: api.Event) -> list[api.Action]:
         """Return the policy's actions on an event, or none if it raises an exception.
 
-        After an exception a timer is set again, and the request of a request or attempt event is answered
-        with an error. An event of another type is lost.
+        After an exception a timer is set again, the request of a request or attempt event is answered with an
+        error, and after one on an endpoint update the whole list follows.
         """
         try:
             return self._balancer.handle(monotonic_ns(), event)
         except Exception:
-            log.exception("the policy failed on %r", event)
+            log.exception("the policy failed on %.1000r", event)
+        self.telemetry.count(Event.POLICY_FAILED, event_type=type(event).__name__)
         if isinstance(event, api.TimerFired):
             self._timers.set_after_failure(event.timer_id)
         elif isinstance(event, api.Request):
             self.requests.on_policy_failed(event.id)
         elif isinstance(event, api.AttemptOutcome):
             self.requests.on_policy_failed(event.request_id)
+        elif isinstance(event, api.EndpointUpdate):
+            self.endpoint_list.resync_later()
         return []
 
     def _execute_actions(self, actions: list[api.Action]) -> None:
--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -25,6 +25,7 @@
 from moleport.policy.interface import DiscoveryMode, EndpointState, EndpointUpdateKind
 from moleport.telemetry import Event, Telemetry
 
+RESYNC_DELAY_S = 1.0
 SLICE_ENDPOINT_COUNT = 256  # endpoints that the policy is notified of in one loop iteration
 
 
@@ -50,6 +51,7 @@
         self._known: dict[str, DiscoveredEndpoint] = {}  # as the policy knows them, without removed ones
         self._pending: dict[str, DiscoveredEndpoint] = {}  # of a long update, not known to the policy yet
         self._next_slice: asyncio.Handle | None = None
+        self._resync: asyncio.TimerHandle | None = None
         self._start_times = ServerStartTimes()
         self._is_synced = asyncio.Event()
         self._backoff = ReconnectBackoff(config.seed, config.drain_grace_ns)
@@ -107,6 +109,17 @@
 
     # Updates.
 
+    def resync_later(self) -> None:
+        """Send the policy the whole list after `RESYNC_DELAY_S`, as it has failed on an update."""
+        if self._resync is None:
+            self._resync = self._loop.call_later(RESYNC_DELAY_S, self._resync_policy)
+
+    def _resync_policy(self) -> None:
+        self._resync = None
+        endpoints = tuple(self._to_policy_endpoint(endpoint) for endpoint in self._known.values())
+        # Not as a snapshot, which says that discovery has just been heard.
+        self._dispatch_event(api.EndpointUpdate(EndpointUpdateKind.CACHED, endpoints))
+
     def _merge(self, kind: EndpointUpdateKind, endpoints: tuple[DiscoveredEndpoint, ...]) -> None:
         """Apply an update, which takes precedence over what is pending of earlier ones.
 
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -43,6 +43,7 @@
     ATTEMPT_DELAYED_AFTER_STALL = "attempt_delayed_after_stall"  # until sockets are read again
     CONNECT_FAILED_LOCALLY = "connect_failed_locally"  # a fault of the node's machine
     CONNECT_FAILED = "connect_failed"
+    POLICY_FAILED = "policy_failed"  # an exception as it handled an event
     LOOP_HELD = "loop_held"  # the event loop was stalled
     WATCH_FAILED = "watch_failed"
     RELOAD_APPLIED = "reload_applied"
--- a/tests/node/test_endpoint_list.py
+++ b/tests/node/test_endpoint_list.py
@@ -18,13 +18,15 @@
     update,
     wait_until_applied,
 )
-from rig import Rig, Server, request, run, status
+from rig import Rig, Server, request, run, status, until
 
 from moleport.config.endpoints import DiscoveredEndpoint, parse_update
 from moleport.node import endpoint_list
 from moleport.node.endpoint_list import SLICE_ENDPOINT_COUNT
 from moleport.node.name_hashing import hash_name
+from moleport.policy import interface as api
 from moleport.policy.interface import EndpointState, EndpointUpdateKind
+from moleport.telemetry import Event
 
 
 def test_removed_and_draining_endpoints_are_applied_at_once() -> None:
@@ -218,3 +220,40 @@
             assert all(started)
 
     run(test())
+
+
+def test_the_policy_gets_the_whole_list_again_after_it_failed_on_an_update() -> None:
+    """Else the node and the policy would hold different lists."""
+    failures = [RuntimeError("a fault of the policy")]
+
+    def fail_once(event: api.Event) -> None:
+        if isinstance(event, api.EndpointUpdate) and failures:
+            raise failures.pop()
+
+    async def test() -> None:
+        async with Rig(configuration_with(entries(range(3)))) as rig:
+            rig.spy.instead = fail_once
+            rig.node.endpoint_list.on_update(update(entries(range(1, 5))))
+            assert rig.node._ready_endpoint_ids == ids(range(1, 5))
+            assert ready_in_policy(rig) == ids(range(3))
+            await until(lambda: ready_in_policy(rig) == ids(range(1, 5)))
+            assert rig.node.telemetry.counters[Event.POLICY_FAILED] == 1
+
+    run(test())
+
+
+def test_a_resync_takes_entries_that_are_pending_with_it() -> None:
+    failures = [RuntimeError("a fault of the policy")]
+
+    def fail_once(event: api.Event) -> None:
+        if isinstance(event, api.EndpointUpdate) and failures:
+            raise failures.pop()
+
+    async def test() -> None:
+        async with Rig(configuration_with(entries(range(3)))) as rig:
+            rig.spy.instead = fail_once
+            rig.node.endpoint_list.on_update(update(entries(range(2, MANY))))
+            await wait_until_applied(rig)
+            await until(lambda: ready_in_policy(rig) == ids(range(2, MANY)))
+
+    run(test())
