Log and count ejections and reinstatements of endpoints

The first question of each incident was why an endpoint got no requests, and nothing told it: ejections were neither logged nor counted.

Change: outlier detection notes each ejection (result that led to it, duration, failure rate, failed trials) and each reinstatement; the dispatcher logs them with the server's address and counts them (endpoint_ejected, endpoint_reinstated).

Evidence: a new test of a node whose server fails and recovers; the counters did not exist before.

--- a/moleport/node/dispatcher.py
+++ b/moleport/node/dispatcher.py
@@ -27,6 +27,7 @@
 from moleport.policy import Balancer
 from moleport.policy import interface as api
 from moleport.telemetry import Event, Telemetry
+from moleport.units import NS_PER_SECOND
 
 log = logging.getLogger(__name__)
 
@@ -39,6 +40,7 @@
         self._config = config
         self._pools = pools
         self._balancer = Balancer(config.policy_settings, config.seed)
+        self._notices = self._balancer.notices
         self._events: deque[api.Event] = deque()
         self._is_dispatching = False
         self._ready_endpoint_ids = pools.endpoint_ids()  # a live view
@@ -109,9 +111,29 @@
             while self._events:
                 event = self._events.popleft()
                 self._execute_actions(self._handle(event))
+                while self._notices:
+                    self._report(self._notices.popleft())
         finally:
             self._is_dispatching = False
 
+    def _report(self, notice: api.Notice) -> None:
+        """Log and count an ejection or a reinstatement."""
+        pool = self._pools.get(notice.endpoint_id)
+        server = "{}:{}".format(*pool.address) if pool is not None else notice.endpoint_id.hex()
+        if isinstance(notice, api.EndpointReinstated):
+            self.telemetry.count(Event.ENDPOINT_REINSTATED, server=server)
+            log.info("%s is reinstated", server)
+            return
+        self.telemetry.count(Event.ENDPOINT_EJECTED, server=server, result=notice.result.value)
+        log.info(
+            "%s is ejected for %.1f s: %s, failure rate %.2f, %d failed trials",
+            server,
+            notice.duration_ns / NS_PER_SECOND,
+            notice.result.value,
+            notice.failure_rate,
+            notice.failed_trial_count,
+        )
+
     def _handle(self, event: api.Event) -> list[api.Action]:
         """Return the policy's actions on an event, or none if it raises an exception.
 
--- a/moleport/policy/balancer.py
+++ b/moleport/policy/balancer.py
@@ -60,6 +60,8 @@
         self._connections = connections = ConnectionHealth(settings.idle_timeout_ns, actions)
         self._outliers = outliers = OutlierDetector(endpoints, random)
         self._subset = subset = EndpointSubset(settings, endpoints, seed)
+        self.notices = outliers.notices
+        """What the embedder may log; it takes what it has logged from the left."""
         self._slow_start = slow_start = SlowStart(settings, random, endpoints, outliers, subset)
         self._registry = EndpointRegistry(endpoints, outliers, slow_start, load_reports)
         self._poller = DiscoveryPoller(settings, random, actions)
--- a/moleport/policy/interface.py
+++ b/moleport/policy/interface.py
@@ -326,4 +326,24 @@
     """Action: poll discovery for the endpoint list, and watch it for all later changes."""
 
 
+class EndpointEjected(NamedTuple):
+    """Notice: an endpoint gets no requests for a while. For logs and counters; nothing is to be done."""
+
+    endpoint_id: EndpointId
+    result: AttemptResult
+    """The result that led to it."""
+    duration_ns: int
+    failure_rate: float
+    failed_trial_count: int
+    """Trials that have failed in a row, up to a limit."""
+
+
+class EndpointReinstated(NamedTuple):
+    """Notice: the ejection of an endpoint has ended."""
+
+    endpoint_id: EndpointId
+
+
+Notice = EndpointEjected | EndpointReinstated
+
 Action = Forward | Reject | Fail | CloseIdleConnections | SetTimer | WatchEndpoints
--- a/moleport/policy/outlier_detection.py
+++ b/moleport/policy/outlier_detection.py
@@ -31,6 +31,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from heapq import heappop, heappush
 from random import Random
 
@@ -55,6 +56,7 @@
 MAX_EJECTION_DOUBLINGS = 4
 MAX_SILENCE_EJECTION_NS = 4 * EJECTION_NS
 MIN_JITTER_RATIO = 0.5
+MAX_NOTICES = 1024  # older ones are dropped where nobody takes them
 MAX_STALE_MULTIPLE = 8  # heap entries for each ejected endpoint, before the heap is rebuilt
 
 NOT_COUNTED = (
@@ -73,6 +75,8 @@
         self._endpoints = endpoints
         self._random = random
         self._fleet_failure_rate = 0.0
+        self.notices: deque[api.Notice] = deque(maxlen=MAX_NOTICES)
+        """Ejections and reinstatements that the embedder has not taken, the oldest first."""
         self.ejected: dict[EndpointStatus, None] = {}
         """The ready endpoints that are ejected; a dict, as its order is the same in each process."""
         self._by_failure_rate: list[
@@ -103,9 +107,9 @@
         self._fleet_failure_rate += FLEET_FAILURE_EWMA_WEIGHT * (is_failed - self._fleet_failure_rate)
         self.track(status)
         if was_on_trial:
-            self._end_trial(now_ns, status, is_failed)
+            self._end_trial(now_ns, status, result)
         elif is_failed and not status.ejected_until_ns and self.make_room_for_ejection(status, result):
-            self.eject(now_ns, status)
+            self.eject(now_ns, status, result)
 
     def make_room_for_ejection(self, status: EndpointStatus, result: AttemptResult) -> bool:
         """Return whether a failure ejects; at the limit, reinstate another endpoint for it."""
@@ -122,16 +126,24 @@
                 self.reinstate(mildest)
         return 1 + len(self.ejected) <= max_ejected
 
-    def eject(self, now_ns: int, status: EndpointStatus) -> None:
-        """Eject an endpoint for a time drawn at random."""
+    def eject(self, now_ns: int, status: EndpointStatus, result: AttemptResult) -> None:
+        """Eject an endpoint for a time drawn at random, after an attempt with this result."""
         # An endpoint that seldom gets requests of this node would get none within a shorter time.
         silence_ns = min(status.silence_ns(now_ns), MAX_SILENCE_EJECTION_NS)
         ejection_ns = max(silence_ns, EJECTION_NS << status.ejection_doublings)
-        status.ejected_until_ns = now_ns + jittered_ns(self._random, ejection_ns, MIN_JITTER_RATIO)
+        duration_ns = jittered_ns(self._random, ejection_ns, MIN_JITTER_RATIO)
+        status.ejected_until_ns = now_ns + duration_ns
         self.track(status)
+        self.notices.append(
+            api.EndpointEjected(
+                status.endpoint.id, result, duration_ns, status.failure_rate, status.ejection_doublings
+            )
+        )
 
     def reinstate(self, status: EndpointStatus) -> None:
         """End an endpoint's ejection, and forget its failures."""
+        if status.ejected_until_ns:
+            self.notices.append(api.EndpointReinstated(status.endpoint.id))
         status.reset_failures()
         self.ejected.pop(status, None)
 
@@ -148,10 +160,10 @@
         """Stop counting an endpoint that is no longer ready; it stays ejected."""
         self.ejected.pop(status, None)
 
-    def _end_trial(self, now_ns: int, status: EndpointStatus, is_failed: bool) -> None:
-        if is_failed:
+    def _end_trial(self, now_ns: int, status: EndpointStatus, result: AttemptResult) -> None:
+        if result is not AttemptResult.OK:
             status.ejection_doublings = min(MAX_EJECTION_DOUBLINGS, status.ejection_doublings + 1)
-            self.eject(now_ns, status)
+            self.eject(now_ns, status, result)
         else:
             self.reinstate(status)
 
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -41,6 +41,8 @@
     ATTEMPT_STOPPED_TOO_LATE = "attempt_stopped_too_late"
     ATTEMPT_STOPPED_LIMIT = "attempt_stopped_limit"  # too many attempts, or the request is answered
     ATTEMPT_DELAYED_AFTER_STALL = "attempt_delayed_after_stall"  # until sockets are read again
+    ENDPOINT_EJECTED = "endpoint_ejected"
+    ENDPOINT_REINSTATED = "endpoint_reinstated"
     CONNECT_FAILED_LOCALLY = "connect_failed_locally"  # a fault of the node's machine
     CONNECT_FAILED = "connect_failed"
     POLICY_FAILED = "policy_failed"  # an exception as it handled an event
--- a/tests/node/test_answer_faults.py
+++ b/tests/node/test_answer_faults.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import AsyncExitStack
+
 import pytest
-from rig import Rig, Server, answer, configuration, request, run, says, serves, status
+from rig import PATIENCE, Rig, Server, answer, configuration, request, run, says, serves, status
 
 from moleport.node.client_connection import ClientConnection
 from moleport.policy.interface import AttemptResult
@@ -51,3 +54,29 @@
                 assert status(await client.ask(request())) == 200
 
     run(test())
+
+
+def test_ejections_and_reinstatements_are_logged_with_their_reason_and_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+
+    async def test() -> None:
+        async with AsyncExitStack() as stack:
+            servers = [await stack.enter_async_context(Server(f"s-{number}")) for number in range(5)]
+            servers[0].script = says(answer(500))
+            rig = await stack.enter_async_context(Rig(configuration(*servers)))
+            client = await rig.client()
+            counters = rig.node.telemetry.counters
+            while not counters[Event.ENDPOINT_EJECTED]:
+                assert status(await client.ask(request())) == 200
+            servers[0].script = serves
+            async with asyncio.timeout(PATIENCE):
+                while not counters[Event.ENDPOINT_REINSTATED]:
+                    assert status(await client.ask(request())) == 200
+                    await asyncio.sleep(0.01)
+            lines = [record.getMessage() for record in caplog.records if "is ejected" in record.getMessage()]
+            assert lines and all(servers[0].address in line and "error" in line for line in lines)
+            assert f"{servers[0].address} is reinstated" in caplog.text
+
+    run(test())
--- a/tests/policy/test_periodic_update.py
+++ b/tests/policy/test_periodic_update.py
@@ -57,7 +57,7 @@
     node = fleet(2000)
     for status in node.balancer._endpoints.ready[:900]:
         status.failure_rate = 0.9
-        node.balancer._outliers.eject(node.now, status)
+        node.balancer._outliers.eject(node.now, status, api.AttemptResult.ERROR)
     failing = node.balancer._endpoints.ready[1500]
     failing.failure_rate = 0.8
     assert (
@@ -73,7 +73,7 @@
     ready = node.balancer._endpoints.ready
     for status, failures in zip(ready, (0.9, 0.6, 0.6), strict=False):
         status.failure_rate = failures
-        node.balancer._outliers.eject(node.now, status)
+        node.balancer._outliers.eject(node.now, status, api.AttemptResult.ERROR)
     ready[5].failure_rate = 0.8
     # Not that much worse.
     assert not node.balancer._outliers.make_room_for_ejection(ready[5], AttemptResult.TIMEOUT)
@@ -85,7 +85,7 @@
 def test_ejected_endpoint_is_counted_only_while_it_is_ready() -> None:
     node = Node(servers=4)
     balancer = node.balancer
-    balancer._outliers.eject(node.now, balancer._endpoints.ready[1])
+    balancer._outliers.eject(node.now, balancer._endpoints.ready[1], api.AttemptResult.ERROR)
     for state, count in ((EndpointState.DRAINING, 0), (EndpointState.READY, 1), (EndpointState.REMOVED, 0)):
         node.tell(delta(server(1, state)))
         assert len(balancer._outliers.ejected) == count
@@ -197,7 +197,7 @@
     status = node.balancer._endpoints.ready[3]
     for turn in range(3000):
         status.failure_rate = 0.5 + turn / 10_000
-        node.balancer._outliers.eject(node.now, status)
+        node.balancer._outliers.eject(node.now, status, api.AttemptResult.ERROR)
     assert len(node.balancer._outliers._by_failure_rate) < 100
 
 
