End at once on SIGTERM ahead of the first list

A node that was told to end while it waited for its first list waited on (up to 2.5 s), then began to listen and served for 0.6 s more. With short deadlines the kill comes 1.2 s after SIGTERM, so clients that it accepted then could have been killed with it.

Change: the start waits for the list or for SIGTERM; after SIGTERM it ends without listening.

--- a/moleport/__main__.py
+++ b/moleport/__main__.py
@@ -11,6 +11,8 @@
 import os
 import signal
 import sys
+from collections.abc import Coroutine
+from typing import Any
 
 import uvloop
 
@@ -34,7 +36,10 @@
     # By default SIGHUP ends the process.
     loop.add_signal_handler(signal.SIGHUP, ConfigReloader(dispatcher).on_signal)
     dispatcher.start()
-    await dispatcher.wait_until_endpoints_known()
+    await _wait_for_either(dispatcher.wait_until_endpoints_known(), stop.wait())
+    if stop.is_set():  # nothing is accepted yet that would have to be completed
+        dispatcher.telemetry.report()
+        return 0
     try:
         address = listener.listen()
     except OSError as error:
@@ -51,6 +56,14 @@
     return 0
 
 
+async def _wait_for_either(*waits: Coroutine[Any, Any, object]) -> None:
+    """Wait until one of them is done, and cancel the others."""
+    tasks = [asyncio.ensure_future(wait) for wait in waits]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
+
+
 def main() -> int:
     """Run the node's process; return its exit code."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
--- a/tests/node/test_readiness.py
+++ b/tests/node/test_readiness.py
@@ -14,7 +14,8 @@
 from typing import Any
 
 import pytest
-from rig import Client, Server, configuration, read_message, request, run, status
+from rig import PATIENCE, Client, Server, configuration, read_message, request, run, status
+from test_process import start
 
 ROOT = Path(__file__).parents[2]
 NODES_COUNT = 30
@@ -32,6 +33,7 @@
     def __init__(self, first: bytes) -> None:
         self.first = first
         self.up = asyncio.Event()
+        self.watched = asyncio.Event()
         self.address = ""
 
     async def __aenter__(self) -> Agent:
@@ -46,6 +48,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await read_message(reader)
+        self.watched.set()
         await self.up.wait()
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         line = self.first
@@ -191,3 +194,28 @@
                 assert await node.ready() < ALL_READY_SECONDS
 
     run(test())
+
+
+def test_sigterm_ahead_of_the_first_list_ends_the_node_at_once(tmp_path: Path) -> None:
+    """It has not listened yet: what it accepted now could be killed with it."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Agent(b"\n") as agent:
+            agent.up.set()
+            document = configuration(server, discovery=agent.address)
+            document["settings"]["MembershipMode"] = "pushed"
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(document))
+            process = await start(path)
+            async with asyncio.timeout(PATIENCE):
+                await agent.watched.wait()
+                await asyncio.sleep(0.1)
+                loop = asyncio.get_running_loop()
+                begun = loop.time()
+                process.send_signal(signal.SIGTERM)
+                _, stderr = await process.communicate()
+            assert process.returncode == 0
+            assert loop.time() - begun < 0.5
+            assert b"serving on" not in stderr
+
+    run(test())
