Leave the current watch's update in slices as a replaced watch ends

Requests would wait while the rest of a long update is parsed in one go: the end of a watch that was replaced finished the parsing of the current one's update. Only the current watch does so now.

--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -201,10 +201,11 @@
             self._transport.abort()
 
     def _fail(self, reason: str) -> None:
-        try:
-            self._owner.finish_parsing()
-        finally:
-            self._owner.on_watch_ended(self, reason)
+        if self._owner.is_current(self):
+            try:
+                self._owner.finish_parsing()
+            finally:
+                self._owner.on_watch_ended(self, reason)
         self.close()
 
     def _expect_data_by(self, deadline: float) -> None:
--- a/tests/node/test_discovery_reconnect.py
+++ b/tests/node/test_discovery_reconnect.py
@@ -7,9 +7,10 @@
 from dataclasses import replace
 
 import pytest
+from endpoint_entries import entries, update_text
 from rig import PATIENCE, Discovery, Rig, Server, configuration, run, until
 
-from moleport.config.endpoints import parse_address
+from moleport.config.endpoints import DiscoveryUpdate, parse_address
 from moleport.node import discovery_watch as discovery
 from moleport.node.name_hashing import hash_name
 from moleport.node.reconnect_backoff import MAX_DOUBLINGS, MAX_DRAIN_GRACE_FRACTION, MIN_DELAY_SECONDS
@@ -209,3 +210,22 @@
                 assert not rig.spy.lists(EndpointUpdateKind.FAILED)
 
     run(test())
+
+
+def test_the_end_of_a_replaced_watch_leaves_the_update_of_the_current_one_in_slices() -> None:
+    """To parse thousands of entries in one go would hold up the requests."""
+    reported: list[DiscoveryUpdate] = []
+
+    async def test() -> None:
+        client = discovery.DiscoveryClient(("127.0.0.1", 1), 0, reported.append, lambda: None)
+        replaced = discovery.WatchConnection(client)
+        current = client._watch = discovery.WatchConnection(client)
+        found = entries(range(3 * discovery.SLICE_ENTRY_COUNT))
+        client.on_object(current, update_text(2, found))
+        replaced.connection_lost(None)
+        assert not reported
+        await until(lambda: reported)
+        assert len(reported[0].endpoints) == len(found)
+        client.close()
+
+    run(test())
