Spend less on what the known failures' mends added to each request

Heads are limited without a call for each header, keyless requests alone are counted for the subset, and the trace has the results of failed attempts only (attempt_failed in place of attempt_ended). Names of constants carry their units.

--- a/moleport/config/settings.py
+++ b/moleport/config/settings.py
@@ -13,7 +13,7 @@
 from moleport.config.protocol_keys import RequestClassKey, SettingKey, TenantKey
 from moleport.policy import interface as api
 
-MAX_DEPTH = 64  # objects and lists in each other
+MAX_DEPTH = 64  # objects and lists within each other
 MAX_INTEGER = (1 << 63) - 1  # what the simulator's wire can hold
 MAX_SHOWN_CHARACTERS = 100  # of a value or path in an error
 
--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -169,9 +169,10 @@
         if result not in NOT_EXECUTED and not request.first_execution_ns:
             request.first_execution_ns = attempt.written_at_ns or monotonic_ns()
         del request.attempts[attempt.index]
-        self._telemetry.count(
-            Event.ATTEMPT_ENDED, request=attempt.request_number, attempt=attempt.index, result=result
-        )
+        if result is not AttemptResult.OK:
+            self._telemetry.count(
+                Event.ATTEMPT_FAILED, request=attempt.request_number, attempt=attempt.index, result=result
+            )
         load_report: tuple[float, ...] = ()
         try:
             if request.is_answered:
--- a/moleport/node/parsed_request.py
+++ b/moleport/node/parsed_request.py
@@ -30,7 +30,7 @@
         self.url = self.path = self.method = b""
         self.headers: list[bytes] = []  # the lines that are forwarded
         self.fields: dict[bytes, bytes] = {}  # all headers, by their name in lower case
-        self.header_bytes = 0  # of header lines and trailers
+        self.header_bytes = 0  # of the target, header lines and trailers
         self.size_bytes = 0  # of the head, then of the body with its framing
         self.body = bytearray()
         self.keep_alive = True
--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -100,13 +100,6 @@
         elif not self._in_body and partial.size_bytes > MAX_HEAD_BYTES:
             self.error_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
-    def _limit_head(self, partial: ParsedRequest) -> None:
-        """Limit target, headers and trailers, which may be complete before a piece of them is counted."""
-        if len(partial.url) + partial.header_bytes > MAX_HEAD_BYTES:
-            raise InvalidRequestError(
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, f"request head of over {MAX_HEAD_BYTES} bytes"
-            )
-
     def has_partial_request(self) -> bool:
         """Return whether bytes have come of a request that is not handed out yet."""
         return self._partial is not None or bool(self._buffer)
@@ -134,14 +127,18 @@
         """Add a part of the request's target."""
         assert self._partial is not None
         self._partial.url += url
-        self._limit_head(self._partial)
+        self._partial.header_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; raise InvalidRequestError if it must not occur twice or there are too many."""
         partial = self._partial
         assert partial is not None
+        # Counted here too, as the head may be complete before a piece of it is counted.
         partial.header_bytes += len(name) + len(value) + HEADER_LINE_BYTES
-        self._limit_head(partial)
+        if partial.header_bytes > MAX_HEAD_BYTES:
+            raise InvalidRequestError(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, f"request head of over {MAX_HEAD_BYTES} bytes"
+            )
         if self._in_body:
             return  # a trailer
         lower, value = name.lower(), value.strip()
--- a/moleport/node/response_parser.py
+++ b/moleport/node/response_parser.py
@@ -124,14 +124,18 @@
 
     def on_status(self, reason: bytes) -> None:
         """Count the reason phrase."""
-        self._count_header_bytes(len(reason))
+        self._header_bytes += len(reason)
+        self._check_head_size()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep an end-to-end header, and interpret those that frame the body or are meant for this node.
 
         A trailer is counted and dropped.
         """
-        self._count_header_bytes(len(name) + len(value) + HEADER_LINE_BYTES)
+        # `feed` counts neither a head that arrives in one piece nor the trailers.
+        self._header_bytes += len(name) + len(value) + HEADER_LINE_BYTES
+        if self._header_bytes > MAX_HEAD_BYTES:
+            self._check_head_size()
         if not self._in_head:
             return
         lower = name.lower()
@@ -152,9 +156,7 @@
         elif lower not in HOP_BY_HOP_HEADERS:
             self._headers.append((name, value))
 
-    def _count_header_bytes(self, size: int) -> None:
-        """Limit a head that comes in one piece, of which `feed` counts nothing, and the trailers."""
-        self._header_bytes += size
+    def _check_head_size(self) -> None:
         if self._header_bytes > MAX_HEAD_BYTES:
             raise InvalidResponseError(
                 f"response head of over {self._header_bytes} bytes exceeds {MAX_HEAD_BYTES}"
--- a/moleport/policy/admission.py
+++ b/moleport/policy/admission.py
@@ -73,7 +73,7 @@
         self._quotas = TenantQuotas(settings.tenants)
         self.in_flight = InFlight()
         """Attempts of all classes in flight, and those released late after a time-out."""
-        self._late_release_count = 0
+        self._delayed_release_count = 0
         self.breakers = [CircuitBreaker(one.latency_objective_ns) for one in settings.classes]
         """By class index."""
         self.caps = [0.0] * len(settings.classes)
@@ -111,12 +111,12 @@
             self._release(class_index, attempt.status, now_ns)
             return
         delay_ns = min(elapsed_ns, self.breakers[class_index].latency_objective_ns)
-        self._late_release_count += 1
-        self._deferred.defer(now_ns + delay_ns, partial(self._release_late, class_index, attempt.status))
+        self._delayed_release_count += 1
+        self._deferred.defer(now_ns + delay_ns, partial(self._release_delayed, class_index, attempt.status))
 
     def attempts_in_flight(self) -> int:
         """Return the number of attempts in flight, without those released late after a time-out."""
-        return self.in_flight.count - self._late_release_count
+        return self.in_flight.count - self._delayed_release_count
 
     def typical_ns(self, class_index: int) -> float:
         """Return the typical response time of a class in ns."""
@@ -195,8 +195,8 @@
             return weight
         return weight / max(1.0, self.breakers[class_index].typical_ns)
 
-    def _release_late(self, class_index: int, status: EndpointStatus, now_ns: int) -> None:
-        self._late_release_count -= 1
+    def _release_delayed(self, class_index: int, status: EndpointStatus, now_ns: int) -> None:
+        self._delayed_release_count -= 1
         self._release(class_index, status, now_ns)
 
     def _release(self, class_index: int, status: EndpointStatus, now_ns: int) -> None:
--- a/moleport/policy/balancer.py
+++ b/moleport/policy/balancer.py
@@ -120,9 +120,10 @@
     def _on_request(self, now_ns: int, request: api.Request) -> None:
         request_class = self._settings.classes[request.class_index]
         self._slow_start.on_request()
-        self._subset.on_request(has_key=request.key != 0)
         if request.key:
             self._hot_keys.record(request.key)
+        else:
+            self._subset.on_keyless_request()
         useful_until_ns = now_ns + request.remaining_ns
         if not request_class.late_weight_ratio:
             useful_until_ns = min(useful_until_ns, now_ns + request_class.latency_objective_ns)
@@ -186,7 +187,7 @@
 
     def _end_window(self, now_ns: int) -> None:
         self._admission.end_window(now_ns)
-        self._subset.end_window(self._admission.in_flight.mean)
+        self._subset.end_window(self._admission.in_flight.mean, self._slow_start.window_arrivals)
         self._rejection_rates.decay()
         self._hot_keys.update(len(self._endpoints.ready))
         if self._endpoints.candidates.has_equal_weights():
--- a/moleport/policy/endpoint_subset.py
+++ b/moleport/policy/endpoint_subset.py
@@ -4,7 +4,7 @@
 connection for nearly each request, and would know little of each endpoint. So it uses an arc of a ring on
 which the ready endpoints stand by the hash of their ids, each as long as its weight:
 
-    width = max(MIN_ENDPOINTS, ENDPOINTS_PER_REQUEST * in_flight)       (endpoints)
+    width = max(MIN_ENDPOINT_COUNT, ENDPOINTS_PER_REQUEST_RATIO * in_flight)       (endpoints)
     arc   = width / ready endpoints, rounded to a multiple of 1 / node_count where that is not 0
     start = node_index / node_count
 
@@ -31,8 +31,8 @@
 from moleport.policy.endpoint_set import EndpointSet
 from moleport.policy.state import EndpointStatus
 
-MIN_ENDPOINTS = 48
-ENDPOINTS_PER_REQUEST = 4.0  # in flight
+MIN_ENDPOINT_COUNT = 48
+ENDPOINTS_PER_REQUEST_RATIO = 4.0  # in flight
 DECAY_FACTOR = 0.99  # each window
 GOLDEN_RATIO = (sqrt(5.0) - 1.0) / 2.0
 KEYLESS_EWMA_WEIGHT = 0.5  # of the newest window
@@ -101,7 +101,7 @@
             self._start = settings.node_index / settings.node_count
             self._own_zone_start = settings.node_index * GOLDEN_RATIO
         self._peak_in_flight = 0.0
-        self._request_count = self._keyless_count = 0  # in this window
+        self._keyless_count = 0  # requests in this window
         self._keyless_ratio = 0.0  # of the requests, a moving mean
         self._rings_version = -1  # of the endpoints that the rings hold
         self._ring = self._own_zone_ring = Ring([])
@@ -111,18 +111,17 @@
         """Return whether the node needs fewer endpoints than are ready."""
         return len(self._endpoints.ready) > self._width()
 
-    def on_request(self, has_key: bool) -> None:
-        """Count an arrival."""
-        self._request_count += 1
-        self._keyless_count += not has_key
+    def on_keyless_request(self) -> None:
+        """Count the arrival of a request without a key."""
+        self._keyless_count += 1
 
-    def end_window(self, mean_in_flight: float) -> None:
-        """Adapt the width to the mean of the node's attempts in flight."""
+    def end_window(self, mean_in_flight: float, request_count: int) -> None:
+        """Adapt to the mean of the node's attempts in flight and the requests that arrived in the window."""
         self._peak_in_flight = max(mean_in_flight, DECAY_FACTOR * self._peak_in_flight)
-        if self._request_count:
-            ratio = self._keyless_count / self._request_count
+        if request_count:
+            ratio = self._keyless_count / request_count
             self._keyless_ratio += KEYLESS_EWMA_WEIGHT * (ratio - self._keyless_ratio)
-        self._request_count = self._keyless_count = 0
+        self._keyless_count = 0
         if self.is_narrow():
             self._update_arcs()
 
@@ -152,7 +151,7 @@
         return 1.0 + self._keyless_ratio * (keyless - 1.0)
 
     def _width(self) -> float:
-        return max(MIN_ENDPOINTS, ENDPOINTS_PER_REQUEST * self._peak_in_flight)
+        return max(MIN_ENDPOINT_COUNT, ENDPOINTS_PER_REQUEST_RATIO * self._peak_in_flight)
 
     def _update_rings(self) -> None:
         if self._rings_version == self._endpoints.version:
--- a/moleport/policy/outlier_detection.py
+++ b/moleport/policy/outlier_detection.py
@@ -56,7 +56,7 @@
 MAX_EJECTION_DOUBLINGS = 4
 MAX_SILENCE_EJECTION_NS = 4 * EJECTION_NS
 MIN_JITTER_RATIO = 0.5
-MAX_NOTICES = 1024  # older ones are dropped where nobody takes them
+MAX_NOTICE_COUNT = 1024  # older ones are dropped where nobody takes them
 MAX_STALE_MULTIPLE = 8  # heap entries for each ejected endpoint, before the heap is rebuilt
 
 NOT_COUNTED = (
@@ -75,7 +75,7 @@
         self._endpoints = endpoints
         self._random = random
         self._fleet_failure_rate = 0.0
-        self.notices: deque[api.Notice] = deque(maxlen=MAX_NOTICES)
+        self.notices: deque[api.Notice] = deque(maxlen=MAX_NOTICE_COUNT)
         """Ejections and reinstatements that the embedder has not taken, the oldest first."""
         self.ejected: dict[EndpointStatus, None] = {}
         """The ready endpoints that are ejected; a dict, as its order is the same in each process."""
--- a/moleport/policy/slow_start.py
+++ b/moleport/policy/slow_start.py
@@ -78,7 +78,8 @@
         self._warming: dict[EndpointStatus, None] = {}  # ready, and warming up when last checked
         self._warm_units = 0  # weight of the ready endpoints that are warm
         self._window_answers = 0  # requests answered by warm endpoints in this window
-        self._window_arrivals = 0  # requests in this window
+        self.window_arrivals = 0
+        """Requests in this window."""
         self._warm_answers = 0.0  # decaying sum of answers
         self._warm_weight_ns = 0.0  # decaying sum of warm weight times ns
         self._measured_ns = 0.0  # decaying sum of ns
@@ -119,7 +120,7 @@
 
     def on_request(self) -> None:
         """Count an arrival."""
-        self._window_arrivals += 1
+        self.window_arrivals += 1
 
     def on_attempt_sent(self, now_ns: int, status: EndpointStatus) -> None:
         """Take a token from an endpoint that is warming up."""
@@ -186,7 +187,7 @@
         self._update_arrival_rate()
         self._assumed_request_rate = self._warm_request_rate or self._even_request_rate()
         self._window_answers = 0
-        self._window_arrivals = 0
+        self.window_arrivals = 0
 
     def update_burst_ratio(self, now_ns: int) -> None:
         """Adapt the part of the selections that may spend tokens to the capacity that is left."""
@@ -200,7 +201,7 @@
         self._burst_ratio = min(1.0, spare_multiple * max(0.0, present) / usual)
 
     def _update_arrival_rate(self) -> None:
-        window_rate = self._window_arrivals / WINDOW_NS
+        window_rate = self.window_arrivals / WINDOW_NS
         if self._arrival_rate:
             self._arrival_rate += ARRIVAL_EWMA_WEIGHT * (window_rate - self._arrival_rate)
         else:
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -35,7 +35,7 @@
     CLIENT_RECLAIMED = "client_reclaimed"  # closed in favour of another connection
     ACCEPT_FAILED = "accept_failed"
     ATTEMPT_WRITTEN = "attempt_written"
-    ATTEMPT_ENDED = "attempt_ended"
+    ATTEMPT_FAILED = "attempt_failed"  # with any result but OK; the trace has it
     ATTEMPT_RETRIED = "attempt_retried"  # any but the first of a request; also counted as written
     ATTEMPT_STOPPED_CLIENT_DISCONNECTED = "attempt_stopped_client_disconnected"
     ATTEMPT_STOPPED_SERVER_REMOVED = "attempt_stopped_server_removed"  # or draining
--- a/tests/policy/test_endpoint_subset.py
+++ b/tests/policy/test_endpoint_subset.py
@@ -13,7 +13,7 @@
 from moleport.policy import interface as api
 from moleport.policy.endpoint_registry import EndpointRegistry
 from moleport.policy.endpoint_set import EndpointSet
-from moleport.policy.endpoint_subset import MIN_ENDPOINTS, EndpointSubset
+from moleport.policy.endpoint_subset import MIN_ENDPOINT_COUNT, EndpointSubset
 from moleport.policy.hardware_types import HardwareTypes
 from moleport.policy.hashing import mix64
 from moleport.policy.load_reports import LoadReports
@@ -56,8 +56,8 @@
         rules = settings(zone=zone, node_count=NODES, node_index=index)
         subset = EndpointSubset(rules, endpoints, seed=index)
         for _ in range(20):
-            subset.on_request(has_key=False)
-            subset.end_window(in_flight)
+            subset.on_keyless_request()
+            subset.end_window(in_flight, request_count=1)
         for endpoint_id in sample:
             loads[endpoint_id] += subset.concentration(endpoints.by_id[endpoint_id])
     mean = sum(loads.values()) / len(loads)
@@ -80,7 +80,7 @@
 def test_requests_without_keys_use_a_subset_where_the_fleet_is_large() -> None:
     for count in (192, 3200, 7200):
         # Of all zones and of the own one; each as an arc that may be rounded up.
-        assert len(targets(node_before(count), 2000)) <= 2.5 * MIN_ENDPOINTS
+        assert len(targets(node_before(count), 2000)) <= 2.5 * MIN_ENDPOINT_COUNT
 
 
 def test_requests_with_keys_reach_the_endpoints_that_their_keys_hash_to(
@@ -88,10 +88,10 @@
 ) -> None:
     node = node_before(192)
     with_subset = [node.serve(key, elapsed=MS) for key in range(1, 400)]
-    monkeypatch.setattr(endpoint_subset, "MIN_ENDPOINTS", 10**9)
+    monkeypatch.setattr(endpoint_subset, "MIN_ENDPOINT_COUNT", 10**9)
     node = node_before(192)
     assert [node.serve(key, elapsed=MS) for key in range(1, 400)] == with_subset
-    assert len(set(with_subset)) > MIN_ENDPOINTS
+    assert len(set(with_subset)) > MIN_ENDPOINT_COUNT
 
 
 def test_the_subset_grows_with_the_requests_in_flight_and_shrinks_slowly() -> None:
@@ -114,7 +114,7 @@
     node.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, drained))
     after = targets(node, 2000)
     assert not after & set(leaving)
-    assert len(after) >= MIN_ENDPOINTS
+    assert len(after) >= MIN_ENDPOINT_COUNT
     assert len(after & before) >= 0.9 * len(before - set(leaving))  # the rest of it stays in use
 
 
@@ -139,7 +139,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     with_subset = answered_without_own_zone(requests=300)
-    monkeypatch.setattr(endpoint_subset, "MIN_ENDPOINTS", 10**9)
+    monkeypatch.setattr(endpoint_subset, "MIN_ENDPOINT_COUNT", 10**9)
     assert with_subset >= max(280, answered_without_own_zone(requests=300))
 
 
@@ -182,7 +182,7 @@
 ) -> None:
     plans = [replace(PLAN, seed=seed) for seed in (1, 2)]
     with_subsets = [play(plan) for plan in plans]
-    monkeypatch.setattr(endpoint_subset, "MIN_ENDPOINTS", 10**9)
+    monkeypatch.setattr(endpoint_subset, "MIN_ENDPOINT_COUNT", 10**9)
     without = [play(plan) for plan in plans]
     assert all(report.excess <= 1.0 for report in with_subsets)
     assert sum(one.served for one in with_subsets) >= 0.97 * sum(one.served for one in without)
