--- /dev/null
+++ b/tests/policy/test_rare_conditions.py
@@ -0,0 +1,78 @@
+"""Decisions where two rare conditions meet: restarts, trials, types without reports, extreme settings."""
+
+from __future__ import annotations
+
+import pytest
+from world import MS, SECOND, START, Node, settings
+
+from moleport.policy import Balancer
+from moleport.policy import interface as api
+from moleport.policy.hardware_types import MIN_REPORT_COUNT, HardwareTypes
+
+RESTARTED_AFTER_NS = SECOND
+
+
+def restarted(node: Node) -> api.Endpoint:
+    """Tell a node that its first endpoint has restarted."""
+    node.now += RESTARTED_AFTER_NS
+    status = node.balancer._endpoints.ready[0]
+    endpoint = status.endpoint._replace(started_at_ns=node.now)
+    node.tell(api.EndpointUpdate(api.EndpointUpdateKind.DELTA, (endpoint,)))
+    return endpoint
+
+
+def test_a_restarted_endpoint_inherits_nothing_of_the_process_before() -> None:
+    """The node gives it new connections, and its load is that of a new process."""
+    node = Node(settings(load_report_fields=("utilization",)), servers=1)
+    send = node.ask()[-1]
+    assert isinstance(send, api.Forward)
+    node.end(send, api.AttemptResult.OK, report=(0.9,))
+    status = node.balancer._endpoints.ready[0]
+    status.rejection_rates[0] = 0.8
+    restarted(node)
+    assert (status.idle_since_ns, status.utilization, status.rejection_rates) == ([], 0.0, {})
+
+
+def test_an_attempt_from_before_an_ejection_does_not_end_its_trial() -> None:
+    """The trial alone decides."""
+    node = Node(settings(max_attempts=1), servers=1)
+    outliers = node.balancer._outliers
+    status = node.balancer._endpoints.ready[0]
+    earlier = node.ask()[-1]
+    assert isinstance(earlier, api.Forward)
+    outliers.eject(node.now, status, api.AttemptResult.ERROR)
+    node.now = status.ejected_until_ns + 1
+    assert isinstance(node.ask()[-1], api.Forward)
+    node.end(earlier, api.AttemptResult.OK)
+    assert status.is_on_trial
+
+
+def test_a_hardware_type_that_has_left_does_not_stop_the_others_from_adapting() -> None:
+    types = HardwareTypes()
+    for _ in range(10 * MIN_REPORT_COUNT):
+        types.record_utilization(0, 0.9, is_reported=True)
+        types.record_utilization(1, 0.3, is_reported=True)
+    types.record_utilization(2, 0.5, is_reported=True)  # its only endpoint is removed now
+    types.update_ratios()
+    assert types.by_type[0].hash_ratio < types.by_type[1].hash_ratio
+
+
+@pytest.mark.parametrize("interval_ns", [0, 1])
+def test_failing_polls_have_pauses_whatever_the_interval(interval_ns: int) -> None:
+    rules = settings(discovery_mode=api.DiscoveryMode.POLL, poll_interval_ns=interval_ns)
+    balancer = Balancer(rules, 1)
+    actions = balancer.start(START)
+    polls_at_ns: list[int] = []
+    timers: list[api.SetTimer] = []
+    now = START
+    while now < START + SECOND and len(polls_at_ns) < 200:
+        timers += [action for action in actions if isinstance(action, api.SetTimer)]
+        if any(isinstance(action, api.WatchEndpoints) for action in actions):
+            polls_at_ns.append(now)
+            actions = balancer.handle(now, api.EndpointUpdate(api.EndpointUpdateKind.FAILED, ()))
+            continue
+        timer = min(timers)
+        timers.remove(timer)
+        now = max(now, timer.at_ns)
+        actions = balancer.handle(now, api.TimerFired(timer.timer_id))
+    assert len(polls_at_ns) < SECOND // (5 * MS)
