Read the soak through: the field's names, and a docstring on each public item

Withdrawn words go (told, asked, trouble, whole, gone), constants name their units, and the docstring rules of the linter hold for soak/ as for the package. The report's key "troubles" is "faults" now.

The subset asks for no ring where no request comes without a key.

--- a/moleport/policy/endpoint_subset.py
+++ b/moleport/policy/endpoint_subset.py
@@ -136,7 +136,7 @@
 
     def concentration(self, status: EndpointStatus) -> float:
         """Return how often requests lead to an endpoint, as a multiple of an even spread by weight."""
-        if not self.is_narrow():
+        if not self._keyless_ratio or not self.is_narrow():
             return 1.0
         self._update_rings()
         own_zone_ratio = 0.0
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,6 @@
 """`python -m soak`: runs seeds of the fault soak and prints a line of JSON for each; non-zero on a violation.
 
-A seed decides the troubles, not what the machine's scheduler makes of them: a failing seed is played again to
+A seed decides the faults, not what the machine's scheduler makes of them: a failing seed is played again to
 see how often it fails, and its logs are kept with --keep.
 """
 
@@ -28,16 +28,17 @@
 from soak.servers import Agent, FaultProxy, Server
 
 MS = 1_000_000  # ns
-SILENCE_TOLD = 6.0  # s after which what a silent watch misses counts as told
-BEAT = 0.005  # s, of the driver, which so measures its own lateness
+SILENCE_NOTIFIED_SECONDS = 6.0  # after a watch falls silent, what it misses counts as notified
+HEARTBEAT_SECONDS = 0.005  # s, of the driver, which so measures its own lateness
 ERRNOS = (12, 23, 24, 99, 100, 101, 103, 105, 113)  # ENOMEM to EHOSTUNREACH, as a node's own faults
-ENDS_WITHIN = 30.0  # s after the load
+MAX_END_SECONDS = 30.0  # s after the load
 CROWDED_RUNS_RATIO = 0.3
-CROWD_CLIENTS = 200  # of a node with 256 descriptors
+CROWD_CLIENT_COUNT = 200  # of a node with 256 descriptors
 STEPS_MS = (-3_600_000, -2_000, 2_000, 3_600_000)
 
 
 def request_class(name: str, semantics: str) -> dict[str, Any]:
+    """Return a request class in the protocol's words."""
     return {
         "Aim": 1500 * MS,
         "Deadline": 2500 * MS,
@@ -52,6 +53,7 @@
 
 
 def configuration(nodes: int) -> dict[str, Any]:
+    """Return the part of the configuration that all nodes share."""
     settings = {
         "Contract": {
             "AskWithin": 10_000 * MS,
@@ -83,11 +85,11 @@
 
 
 class Soak:
-    """One seed: nodes, servers and clients, and the troubles that overlap."""
+    """One seed: nodes, servers and clients, and the faults that overlap."""
 
     def __init__(self, seed: int, nodes: int, span: float, folder: Path) -> None:
         self.record = Record()
-        self.troubles: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
         self._random = random.Random(seed)
         self._span = span
         self._has_crowds = self._random.random() < CROWDED_RUNS_RATIO
@@ -124,24 +126,24 @@
 
     def _inform(self, agent: Agent, *changed: dict[str, Any]) -> None:
         if not agent.down:
-            whole = [self._entry(proxy) for proxy in self._proxies if proxy.server.state != "Gone"]
-            agent.hold(self._version, whole, list(changed))
+            complete = [self._entry(proxy) for proxy in self._proxies if proxy.server.state != "Gone"]
+            agent.hold(self._version, complete, list(changed))
 
-    def _told(self, node: NodeProcess, now: float) -> float:
-        """When a change that is published now counts as told to a node."""
+    def _notified_at(self, node: NodeProcess, now: float) -> float:
+        """Return when a change that is published now counts as notified to a node."""
         agent = node.agents[node.agent]
-        at = max(now, node.told_from)
+        at = max(now, node.notified_from)
         if agent.silent_since is not None:
-            at = max(at, agent.silent_since + SILENCE_TOLD)
+            at = max(at, agent.silent_since + SILENCE_NOTIFIED_SECONDS)
         return at
 
-    # The troubles.
+    # The faults.
 
     async def _retire(self, proxy: FaultProxy) -> None:
-        """A server drains, is gone, and comes back cold, as the same or after a step of all clocks."""
+        """Drain and remove a server, and bring it back in slow start."""
         server = proxy.server
         now = time.monotonic()
-        told = {node.name: self._told(node, now) for node in self._nodes}
+        notified_at = {node.name: self._notified_at(node, now) for node in self._nodes}
         down = {node.name for node in self._nodes if node.agents[node.agent].down}
         server.state = "Terminating"
         self._publish(proxy)
@@ -153,7 +155,9 @@
         until = time.monotonic()
         for node in self._nodes:
             if node.name not in down:
-                self.record.gone.append((node.name, server.name, max(told[node.name], node.told_from), until))
+                self.record.removals.append(
+                    (node.name, server.name, max(notified_at[node.name], node.notified_from), until)
+                )
         server.state, server.started_ms = "Ready", time.time_ns() // MS + self._offset_ms
         self._publish(proxy)
 
@@ -182,7 +186,7 @@
     async def _crowd(self, node: NodeProcess) -> None:
         """Idle clients take the node's descriptors for a while."""
         writers = []
-        for _ in range(CROWD_CLIENTS):
+        for _ in range(CROWD_CLIENT_COUNT):
             with suppress(OSError):
                 writers.append((await asyncio.open_connection("127.0.0.1", node.port))[1])
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
@@ -202,10 +206,10 @@
 
     async def _lose_agent(self, node: NodeProcess) -> None:
         agent = node.agents[node.agent]
-        trouble = self._random.choice(("drop", "silent", "down"))
-        if trouble == "drop":
+        fault = self._random.choice(("drop", "silent", "down"))
+        if fault == "drop":
             agent.drop()
-        elif trouble == "silent":
+        elif fault == "silent":
             agent.fall_silent()
         else:
             agent.down = True
@@ -215,16 +219,16 @@
             self._inform(agent)
 
     async def _exclusively(self, node: NodeProcess, what: Callable[[NodeProcess], Awaitable[None]]) -> None:
-        """Some troubles of one node exclude each other, as a platform's own steps do."""
+        """Inject a fault unless another that excludes it is under way at the node."""
         if node.name not in self._busy:
             self._busy.add(node.name)
             await what(node)
             self._busy.discard(node.name)
 
-    def _begin_trouble(self) -> None:
+    def _inject_fault(self) -> None:
         node = self._random.choice(self._nodes)
         server = self._random.choice(self._proxies)
-        troubles: list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]] = [
+        faults: list[tuple[str, Callable[[], Coroutine[Any, Any, None]]]] = [
             ("retire", lambda: self._retire(server)),
             ("misbehave", lambda: self._misbehave(server)),
             ("misbehave", lambda: self._misbehave(server)),
@@ -239,27 +243,29 @@
             ("lose_agent", lambda: self._exclusively(node, self._lose_agent)),
         ]
         if self._has_crowds:
-            troubles.append(("crowd", lambda: self._crowd(node)))
-        name, trouble = self._random.choice(troubles)
+            faults.append(("crowd", lambda: self._crowd(node)))
+        name, fault = self._random.choice(faults)
         if name == "retire" and server.server.state != "Ready":
             return
-        self.troubles[name] += 1
-        task = asyncio.create_task(trouble())
+        self.faults[name] += 1
+        task = asyncio.create_task(fault())
         self._tasks.add(task)
 
     async def _measure_slack(self) -> None:
         while True:
-            due = time.monotonic() + BEAT
-            await asyncio.sleep(BEAT)
+            due = time.monotonic() + HEARTBEAT_SECONDS
+            await asyncio.sleep(HEARTBEAT_SECONDS)
             self.record.slack = max(self.record.slack, time.monotonic() - due)
 
     # The run.
 
     def kill_all(self) -> None:
+        """Kill all node processes."""
         for node in self._nodes:
             node.kill()
 
     async def run(self) -> list[Violation]:
+        """Play the seed, and return the violations of all rules."""
         for server, proxy in zip(self._servers, self._proxies, strict=True):
             await server.start()
             await proxy.start()
@@ -273,44 +279,48 @@
         beat = asyncio.create_task(self._measure_slack())
         end = time.monotonic() + self._span
         clients = [Client(node, self.record, self._random.randrange(1 << 30)) for node in self._nodes * 8]
-        asking = [asyncio.create_task(client.run(end)) for client in clients]
+        client_tasks = [asyncio.create_task(client.run(end)) for client in clients]
         while time.monotonic() < end - 4.0:
             await asyncio.sleep(self._random.uniform(0.05, 0.4))
-            self._begin_trouble()
+            self._inject_fault()
         await asyncio.gather(*self._tasks)
-        await asyncio.gather(*asking)
+        await asyncio.gather(*client_tasks)
         await asyncio.gather(*(node.end() for node in self._nodes))
         beat.cancel()
         for node in self._nodes:
             node.read_log()
         own = [violation for node in self._nodes for violation in node.violations]
-        slow = sum(client.slow_to_bad_clients for client in clients)
+        slow = sum(client.slow_invalid_client_count for client in clients)
         if slow:
             own.append(Violation("bad client", "", f"{slow} got neither an error nor a close in time"))
         return own + list(self.record.violations())
 
     def report(self) -> dict[str, Any]:
-        statuses = Counter(str(asked.status) for asked in self.record.asked.values() if asked.left is None)
+        """Return the figures of the run."""
+        statuses = Counter(
+            str(request.status) for request in self.record.requests.values() if request.left is None
+        )
         return {
-            "requests": len(self.record.asked),
+            "requests": len(self.record.requests),
             "statuses": dict(statuses),
-            "troubles": dict(self.troubles),
+            "faults": dict(self.faults),
             "attempts": sum(map(len, self.record.attempts.values())),
             "slack": round(self.record.slack, 3),
         }
 
 
-def _tell_of_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+def _report_fault(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     """Handlers that are cancelled as the run ends are no faults."""
     if not isinstance(context.get("exception"), asyncio.CancelledError):
         loop.default_exception_handler(context)
 
 
 async def play(seed: int, nodes: int, span: float, folder: Path) -> tuple[dict[str, Any], list[Violation]]:
-    asyncio.get_running_loop().set_exception_handler(_tell_of_fault)
+    """Play one seed; return its report and its violations."""
+    asyncio.get_running_loop().set_exception_handler(_report_fault)
     soak = Soak(seed, nodes, span, folder)
     try:
-        async with asyncio.timeout(span + ENDS_WITHIN):
+        async with asyncio.timeout(span + MAX_END_SECONDS):
             violations = await soak.run()
     finally:
         soak.kill_all()
@@ -318,6 +328,7 @@
 
 
 def main() -> int:
+    """Play the seeds that the command line names; return the exit code."""
     parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
     parser.add_argument("--seeds", type=int, nargs=2, default=(1, 3), metavar=("FIRST", "LAST"))
     parser.add_argument("--nodes", type=int, default=10, help="real node processes (10)")
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -9,12 +9,12 @@
 from itertools import count
 
 from soak.nodes import NodeProcess
-from soak.oracle import ANSWER_GRACE, Asked, Record
+from soak.oracle import ANSWER_GRACE_SECONDS, ClientRequest, Record
 from soak.servers import read_message, reset
 
-GIVES_UP = 1.0  # s after the grace in which an answer may still come to a client of the soak
+GIVE_UP_SECONDS = 1.0  # s after the grace in which an answer may still come to a client of the soak
 LEAVES_PART, STRAYS_PART = 0.08, 0.04
-BAD_CLIENT_TIME = 3.0  # s in which one is owed an error or a close
+MAX_INVALID_CLIENT_SECONDS = 3.0  # s in which one is owed an error or a close
 JUNK = (b"", b"GET /api HT", b"\x16\x03\x01\x02\x00", b"POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\n12")
 numbers = count(1)
 
@@ -27,19 +27,20 @@
         self._record = record
         self._random = random.Random(seed)
         self._stream: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-        self.slow_to_bad_clients = 0
+        self.slow_invalid_client_count = 0
 
     async def run(self, end: float) -> None:
+        """Send requests until `end`, in monotonic s."""
         while time.monotonic() < end:
             await asyncio.sleep(self._random.choice((0.01, 0.05, 0.2, 0.7, 2.4)))
-            if not self._node.up:
+            if not self._node.is_up:
                 # The node is ending, or down: what is open is used until it is closed.
-                await self._ask()
+                await self._send_request()
                 continue
             if self._random.random() < STRAYS_PART:
                 await self._stray()
             else:
-                await self._ask()
+                await self._send_request()
         self._forget()
 
     def _forget(self) -> None:
@@ -52,71 +53,71 @@
             return await asyncio.open_connection("127.0.0.1", self._node.port)
         return None
 
-    async def _ask(self) -> None:
+    async def _send_request(self) -> None:
         once = self._random.random() < 0.4
         patience = self._random.choice((0.15, 0.4, 1.0, 2.5))
-        asked = Asked(f"{next(numbers):016x}", self._node.name, once, 0.0, patience)
+        request = ClientRequest(f"{next(numbers):016x}", self._node.name, once, 0.0, patience)
         leaves = self._random.random() < LEAVES_PART
         for fresh in (False, True):
             if fresh or self._stream is None or self._stream[0].at_eof():
                 self._forget()
-                self._stream = await self._connect() if self._node.up else None
+                self._stream = await self._connect() if self._node.is_up else None
             if self._stream is None:
                 return
             reader, writer = self._stream
-            asked.sent = time.monotonic()
-            self._record.asked[asked.identity] = asked
-            asked.closed = None
-            writer.write(self._request(asked))
+            request.sent = time.monotonic()
+            self._record.requests[request.identity] = request
+            request.closed = None
+            writer.write(self._request(request))
             if leaves:
-                await self._leave(asked, writer)
+                await self._leave(request, writer)
                 return
-            if await self._wait(asked, reader):
+            if await self._wait(request, reader):
                 return
             self._forget()
-            if asked.identity in self._record.attempts:
+            if request.identity in self._record.attempts:
                 return  # it was read: the oracle says whose fault that is
             # The close crossed a request that was not read: the client sends it once more.
 
-    def _request(self, asked: Asked) -> bytes:
-        method, kind = (b"POST", b"order") if asked.once else (b"GET", b"page")
-        length = b"Content-Length: 4\r\n" if asked.once else b""
+    def _request(self, request: ClientRequest) -> bytes:
+        method, kind = (b"POST", b"order") if request.once else (b"GET", b"page")
+        length = b"Content-Length: 4\r\n" if request.once else b""
         key = self._random.randrange(200)
         lines = (
             b"%s /api HTTP/1.1" % method,
             b"Host: service.internal",
-            b"X-Request-Id: %s" % asked.identity.encode(),
+            b"X-Request-Id: %s" % request.identity.encode(),
             b"X-Class: %s" % kind,
             b"X-Key: k%d" % key,
-            b"X-Deadline: %dm" % (asked.patience * 1000),
+            b"X-Deadline: %dm" % (request.patience * 1000),
         )
-        return b"\r\n".join(lines) + b"\r\n" + length + (b"\r\nbody" if asked.once else b"\r\n")
+        return b"\r\n".join(lines) + b"\r\n" + length + (b"\r\nbody" if request.once else b"\r\n")
 
-    async def _leave(self, asked: Asked, writer: asyncio.StreamWriter) -> None:
+    async def _leave(self, request: ClientRequest, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self._random.choice((0.0, 0.003, 0.02, 0.1)))
         if self._random.random() < 0.5:
             reset(writer)
         else:
             writer.close()
-        asked.left = time.monotonic()
+        request.left = time.monotonic()
         self._stream = None
 
-    async def _wait(self, asked: Asked, reader: asyncio.StreamReader) -> bool:
-        """False if the connection ended with no byte of an answer."""
+    async def _wait(self, request: ClientRequest, reader: asyncio.StreamReader) -> bool:
+        """Return False if the connection ended with no byte of an answer."""
         try:
-            async with asyncio.timeout(asked.patience + ANSWER_GRACE + GIVES_UP):
+            async with asyncio.timeout(request.patience + ANSWER_GRACE_SECONDS + GIVE_UP_SECONDS):
                 first, headers, body = await read_message(reader)
         except TimeoutError:
             self._forget()
             return True
         except asyncio.IncompleteReadError as problem:
-            asked.closed = time.monotonic()
+            request.closed = time.monotonic()
             return bool(problem.partial)
         except (OSError, RuntimeError):
-            asked.closed = time.monotonic()
+            request.closed = time.monotonic()
             return False
-        asked.answered = time.monotonic()
-        asked.status, asked.body = int(first.split()[1]), body
+        request.answered = time.monotonic()
+        request.status, request.body = int(first.split()[1]), body
         if headers.get(b"connection", b"").lower() == b"close":
             self._forget()
         return True
@@ -130,8 +131,8 @@
         writer.write(self._random.choice(JUNK))
         begun = time.monotonic()
         with suppress(OSError, TimeoutError):
-            async with asyncio.timeout(BAD_CLIENT_TIME + 2.0):
+            async with asyncio.timeout(MAX_INVALID_CLIENT_SECONDS + 2.0):
                 await reader.read(1)
-        if time.monotonic() - begun > BAD_CLIENT_TIME + self._record.slack + 0.5:
-            self.slow_to_bad_clients += 1
+        if time.monotonic() - begun > MAX_INVALID_CLIENT_SECONDS + self._record.slack + 0.5:
+            self.slow_invalid_client_count += 1
         writer.close()
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -19,12 +19,12 @@
 from soak.shims import ROOT, Faults
 
 LISTEN_PORTS = range(15_000, 30_000)  # below those that Linux gives to connections
-READY_WITHIN = 10.0  # s
+MAX_READY_SECONDS = 10.0  # s
 MAX_DEADLINE_SECONDS = 3.0  # a longer deadline is taken for this
 KILL_DELAY_SECONDS = 0.7  # from the end of the longest deadline to SIGKILL, at least
 NEW_CONNECTIONS_SECONDS = 0.3  # after SIGTERM in which the front sends new connections
 MAX_SIGNAL_GAP_SECONDS = 0.005  # in a series
-MAX_SERIES_SIGNALS = 4
+MAX_SERIES_SIGNAL_COUNT = 4
 NS_PER_S = 10**9
 ENDING_FAULTS = ("Traceback", "invariant violated", "the policy failed", "action failed")
 
@@ -46,8 +46,8 @@
         self.port = free_port()
         self.agents = [Agent(), Agent()]
         self.agent = 0  # which of them its configuration names
-        self.up = False  # the front sends it new connections
-        self.told_from = 0.0  # nothing counts as told to it before
+        self.is_up = False  # the front sends it new connections
+        self.notified_from = 0.0  # monotonic s; no update counts as notified before
         self.violations: list[Violation] = []
         self._folder = folder
         self._document = document
@@ -60,14 +60,15 @@
         self._kill_after_s = min(MAX_DEADLINE_SECONDS, max(deadlines)) + KILL_DELAY_SECONDS
 
     def configuration(self) -> str:
+        """Return the node's configuration file for its current agent."""
         agent = f"127.0.0.1:{self.agents[self.agent].port}"
         listen = f"127.0.0.1:{self.port}"
         return json.dumps(self._document | {"name": self.name, "listen": listen, "discovery": agent})
 
     async def start(self) -> None:
-        """Returns once `/up` has answered 200; a node that is not ready in time is a violation."""
+        """Start the process, and wait until `/up` answers 200; not in time is a violation."""
         self._path.write_text(self.configuration())
-        self.told_from = time.monotonic()
+        self.notified_from = time.monotonic()
         environment = {**os.environ, "BALANCER_CONFIG": str(self._path), "BALANCER_TRACE": "1"}
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -77,10 +78,10 @@
                 stderr=log,
                 stdout=asyncio.subprocess.DEVNULL,
             )
-        end = time.monotonic() + READY_WITHIN
+        end = time.monotonic() + MAX_READY_SECONDS
         while time.monotonic() < end and self._process.returncode is None:
             if await self._answers_up():
-                self.up = True
+                self.is_up = True
                 return
             await asyncio.sleep(0.05)
         self.violations.append(Violation("crash", self.name, "not ready in time"))
@@ -96,6 +97,7 @@
         return b" 200 " in line
 
     def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
@@ -106,22 +108,24 @@
             await asyncio.sleep(random.uniform(0.0, MAX_SIGNAL_GAP_SECONDS))
 
     async def restart(self, kill: bool, random: Random) -> None:
-        """A planned restart, or a kill; down for a moment either way.
+        """Restart the node as planned, or kill it and start it again.
 
         SIGTERM comes among other signals. Clients use the connections that they have until the process ends.
         """
         process = self._process
         assert process is not None
         if kill:
-            self.up = False
+            self.is_up = False
             self._record.killed[self.name].append(time.monotonic())
             self.send(signal.SIGKILL)
         else:
-            before = [signal.SIGHUP] * random.randrange(MAX_SERIES_SIGNALS)
-            behind = random.choices((signal.SIGTERM, signal.SIGHUP), k=random.randrange(MAX_SERIES_SIGNALS))
+            before = [signal.SIGHUP] * random.randrange(MAX_SERIES_SIGNAL_COUNT)
+            behind = random.choices(
+                (signal.SIGTERM, signal.SIGHUP), k=random.randrange(MAX_SERIES_SIGNAL_COUNT)
+            )
             await self.send_series([*before, signal.SIGTERM, *behind], random)
             await asyncio.sleep(NEW_CONNECTIONS_SECONDS)
-            self.up = False
+            self.is_up = False
         await self._wait_for_end(process)
         if not kill and process.returncode != 0:
             self.violations.append(Violation("crash", self.name, f"ended with {process.returncode}"))
@@ -129,24 +133,25 @@
         await self.start()
 
     async def hold(self, span: float) -> None:
+        """Stop the process for `span` s."""
         self.send(signal.SIGSTOP)
         await asyncio.sleep(span)
         self.send(signal.SIGCONT)
 
     async def reload(self, half_written: bool, random: Random) -> None:
-        """A new configuration moves it to its other agent; the old one ends its watches a little later.
+        """Move the node to its other agent by a new configuration; the old one ends its watches later.
 
         Some reloads come as a series of signals.
         """
         old = self.agents[self.agent]
         self.agent = 1 - self.agent
         text = self.configuration()
-        self.told_from = time.monotonic() + 4.0
+        self.notified_from = time.monotonic() + 4.0
         if half_written:
             self._path.write_text(text[: len(text) // 2])
         else:
             self._path.write_text(text)
-        await self.send_series([signal.SIGHUP] * random.randrange(1, MAX_SERIES_SIGNALS), random)
+        await self.send_series([signal.SIGHUP] * random.randrange(1, MAX_SERIES_SIGNAL_COUNT), random)
         if half_written:
             await asyncio.sleep(0.2)
             self._path.write_text(text)
@@ -159,6 +164,7 @@
             self.send(signal.SIGKILL)
 
     async def end(self) -> None:
+        """Shut the node down; one that has ended before is a violation."""
         process = self._process
         if process is None:
             return
@@ -179,7 +185,7 @@
             await process.wait()
 
     def read_log(self) -> None:
-        """What the node itself said: the requests that it has read, and faults of its own."""
+        """Take from the log the requests that the node has read, and faults of its own."""
         for line in self._log.read_text(errors="replace").splitlines():
             if '"event": "request_received"' in line:
                 identity = json.loads(line[line.index("{") :])["id"]
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -13,7 +13,7 @@
 
 from soak.oracle import Attempt, Record
 
-CHUNK = 1 << 16
+CHUNK_BYTES = 1 << 16
 FAILURES = {
     "refuse": b"HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
     "error": b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
@@ -54,10 +54,12 @@
         self.ended_at: float | None = None  # monotonic s; None: it is open
 
     def eof_received(self) -> bool:
+        """Note the end of the client's sending."""
         self._note_end()
         return bool(super().eof_received())
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection."""
         self._note_end()
         super().connection_lost(exc)
 
@@ -67,7 +69,7 @@
 
 
 class Server:
-    """Answers requests, as its behaviour tells, and records each that has arrived whole."""
+    """Answers requests, as its behaviour tells, and records each that has arrived completely."""
 
     behaviours = (
         "serve",
@@ -96,6 +98,7 @@
         self._made = 0
 
     async def start(self) -> None:
+        """Listen on a free port."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(lambda: ServerProtocol(self._serve), "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
@@ -108,8 +111,8 @@
         try:
             while True:
                 first, headers, _ = await read_message(reader)
-                told = int(headers[b"x-deadline"].removesuffix(b"u")) / 1e6
-                attempt = Attempt(self.name, time.monotonic(), told)
+                timeout_s = int(headers[b"x-deadline"].removesuffix(b"u")) / 1e6
+                attempt = Attempt(self.name, time.monotonic(), timeout_s)
                 identity = headers[b"x-request-id"].decode()
                 self._record.attempts[identity].append(attempt)
                 if not await self._answer(identity, attempt, reader, writer):
@@ -126,7 +129,7 @@
     async def _answer(
         self, identity: str, attempt: Attempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        """False where the connection ends behind the answer."""
+        """Answer a request; return False where the connection ends behind the answer."""
         self._made += 1
         body = f"{self.name} {self._made} for {identity}".encode()
         self._record.made[body] = identity
@@ -137,23 +140,23 @@
         elif behaviour == "hang":
             await reader.read(1)  # until the node gives up
             return False
-        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        framed = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
         unframed = b"HTTP/1.1 200 OK\r\n\r\n" + body
         if behaviour == "reset":
             reset(writer)
         elif behaviour == "no_length":
             writer.write(unframed)
         elif behaviour == "cut":
-            writer.write(self._random.choice((whole, unframed))[: -self._random.randrange(1, 20)])
+            writer.write(self._random.choice((framed, unframed))[: -self._random.randrange(1, 20)])
             await writer.drain()
             await asyncio.sleep(0.005)
             reset(writer)
         elif behaviour == "close":
-            writer.write(whole)
+            writer.write(framed)
             await asyncio.sleep(self._random.uniform(0.0, 0.02))
         else:
             attempt.ran = behaviour != "refuse"
-            writer.write(self._failure(behaviour) or whole)
+            writer.write(self._failure(behaviour) or framed)
             return True
         return False
 
@@ -164,7 +167,7 @@
         return FAILURES.get(behaviour, b"")
 
     def _odd_response(self) -> bytes:
-        """Return a whole response with a rare status, reason or header."""
+        """Return a complete response with a rare status, reason or header."""
         status = self._random.choice((b"204", b"304", b"418", b"419", b"430", b"451", b"499", b"599", b"999"))
         reason = self._random.choice((b"", b" ", b" \xe9\xff", b" " + b"R" * 300))
         header = self._random.choice(
@@ -186,8 +189,11 @@
 
 
 class FaultProxy:
-    """Stands before a server and carries bytes both ways, or not: `silent` swallows what the server says,
-    `refuse` resets new connections. Towards the server nothing is delayed, so its times are right."""
+    """A proxy in front of a server.
+
+    Its fault `silent` swallows what the server sends, `refuse` resets new connections. Towards the server
+    nothing is delayed, so that its times are right.
+    """
 
     def __init__(self, server: Server) -> None:
         self.server = server
@@ -195,6 +201,7 @@
         self.port = 0
 
     async def start(self) -> None:
+        """Listen on a free port."""
         listening = await asyncio.start_server(self._carry, "127.0.0.1", 0)
         self.port = listening.sockets[0].getsockname()[1]
 
@@ -211,7 +218,7 @@
 
     async def _pump(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, answers: bool) -> None:
         try:
-            while data := await source.read(CHUNK):
+            while data := await source.read(CHUNK_BYTES):
                 if not (answers and self.fault == "silent"):
                     sink.write(data)
                     await sink.drain()
@@ -229,17 +236,18 @@
         self.down = False
         self.silent_since: float | None = None  # open watches get nothing; new ones do
         self.changes: list[tuple[int, dict[str, Any]]] = []
-        self._whole: list[dict[str, Any]] = []
+        self._complete_list: list[dict[str, Any]] = []
         self._watches: set[asyncio.StreamWriter] = set()
         self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
+        """Listen on a free port."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
 
     def hold(self, version: int, entries: list[dict[str, Any]], changed: list[dict[str, Any]]) -> None:
-        """What it knows from now on."""
-        self.version, self._whole = version, entries
+        """Hold a list from now on, and send the changes to the watches."""
+        self.version, self._complete_list = version, entries
         for writer in self._watches - self._silent:
             self._line(writer, {"version": version, "full": False, "servers": changed})
 
@@ -249,10 +257,12 @@
             writer.write(b"%x\r\n%s\r\n" % (len(text), text))
 
     def fall_silent(self) -> None:
+        """Send nothing more on the open watches."""
         self.silent_since = time.monotonic()
         self._silent |= self._watches
 
     def drop(self) -> None:
+        """Reset all watches."""
         for writer in list(self._watches):
             reset(writer)
 
@@ -262,7 +272,7 @@
             while self.down:
                 await asyncio.sleep(0.02)
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            self._line(writer, {"version": self.version, "full": True, "servers": self._whole})
+            self._line(writer, {"version": self.version, "full": True, "servers": self._complete_list})
             self._watches.add(writer)
             self.silent_since = None
             while not writer.is_closing():
--- a/soak/shims.py
+++ b/soak/shims.py
@@ -32,14 +32,16 @@
             self._memory = mmap.mmap(file.fileno(), LAYOUT.size)
 
     def get(self, field: str) -> int:
+        """Return the value of a field."""
         return int(LAYOUT.unpack_from(self._memory)[FIELDS.index(field)])
 
     def set(self, **values: int) -> None:
+        """Set fields by name."""
         for field, value in values.items():
             struct.pack_into("<q", self._memory, 8 * FIELDS.index(field), value)
 
     def command(self) -> list[str]:
-        """Starts the node with these shims."""
+        """Return the command that starts the node with these shims."""
         return [sys.executable, str(Path(__file__)), str(self.path)]
 
 
@@ -70,6 +72,7 @@
 
 
 def main() -> int:
+    """Run the node with the shims; return its exit code."""
     install(Faults(Path(sys.argv[1]), create=False))
     sys.path.insert(0, str(ROOT))
     from moleport.__main__ import main as node
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,23 +10,23 @@
 
 import pytest
 
-from soak.oracle import Asked, Attempt, Record
+from soak.oracle import Attempt, ClientRequest, Record
 from soak.servers import Server, reset
 
 ROOT = Path(__file__).parents[2]
 
 
-def record(asked: Asked, *attempts: Attempt) -> Record:
+def record(asked: ClientRequest, *attempts: Attempt) -> Record:
     """Return the record of one request and its attempts."""
-    seen = Record(asked={asked.identity: asked})
+    seen = Record(requests={asked.identity: asked})
     seen.attempts[asked.identity] += attempts
     seen.made[b"made"] = asked.identity
     return seen
 
 
-def asked(**changes: object) -> Asked:
+def asked(**changes: object) -> ClientRequest:
     """Return a request that was answered in time, with changes."""
-    one = Asked("id", "n0", True, 10.0, 1.0, status=200, body=b"made", answered=10.2)
+    one = ClientRequest("id", "n0", True, 10.0, 1.0, status=200, body=b"made", answered=10.2)
     for name, value in changes.items():
         setattr(one, name, value)
     return one
@@ -57,7 +57,9 @@
         (asked(), [attempt(told=1.11)], {"deadline"}),
     ],
 )
-def test_the_oracle_reports_each_broken_rule(what: Asked, attempts: list[Attempt], rules: set[str]) -> None:
+def test_the_oracle_reports_each_broken_rule(
+    what: ClientRequest, attempts: list[Attempt], rules: set[str]
+) -> None:
     """And no other."""
     assert {violation.rule for violation in record(what, *attempts).violations()} == rules
 
@@ -66,7 +68,7 @@
     """Within the grace there is no violation."""
     for told, rules in ((9.6, set()), (9.4, {"drain"})):
         seen = record(asked(), attempt())
-        seen.gone.append(("n0", "s-1", told, 12.0))
+        seen.removals.append(("n0", "s-1", told, 12.0))
         assert {violation.rule for violation in seen.violations()} == rules
 
 
