Let nothing stand between the clock and the write of an attempt

Cause, by the nodes' logs: the process was stopped for 210 and 371 ms between the clock and the write.

Change: the clock is read, the time left is checked and the request written with nothing in between; state and timer follow, and the check of the invariants uses the clock as read behind the write.

--- a/moleport/node/attempt.py
+++ b/moleport/node/attempt.py
@@ -57,10 +57,10 @@
     def record_attempt_event(self, attempt: Attempt, event: Event) -> None:
         """Count and trace an event of the attempt."""
 
-    def on_request_written(self, attempt: Attempt, timeout_ns: int) -> None:
+    def on_request_written(self, attempt: Attempt, timeout_ns: int, written_at_ns: int) -> None:
         """Handle a request that is with the kernel, or in the write buffer in front of it.
 
-        `timeout_ns` is the time left that the request states to the server.
+        `timeout_ns` is the time left that the request states to the server, `written_at_ns` a monotonic time.
         """
 
     def on_written_ended_unsent(self, attempt: Attempt, result: AttemptResult) -> None:
@@ -303,15 +303,15 @@
             is_own_delay = is_write_overdue or self._permission_timer is not None
             self.end(AttemptResult.NOT_SENT if is_own_delay else AttemptResult.CONNECT_FAILED)
             return
-        self._connection = connection
-        self._enter(AttemptState.IN_FLIGHT)
-        self._start_timer(self.expires_at_ns)
-        # Read again as late as possible: a hold in between would make the stated timeout too long.
-        remaining_ns = max(NS_PER_US, self.expires_at_ns - monotonic_ns())
+        # Nothing else stands between the clock and the write: a hold there makes the stated timeout too long.
         connection.send(
             self, b"%sX-Deadline: %du\r\n\r\n%s" % (self._head, remaining_ns // NS_PER_US, self._body)
         )
-        self._owner.on_request_written(self, remaining_ns)
+        written_at_ns = monotonic_ns()
+        self._connection = connection
+        self._enter(AttemptState.IN_FLIGHT)
+        self._start_timer(self.expires_at_ns)
+        self._owner.on_request_written(self, remaining_ns, written_at_ns)
 
     def _is_written(self) -> bool:
         """Return whether the last byte of the request is with the kernel."""
--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -114,12 +114,12 @@
             event, request=attempt.request_number, attempt=attempt.index, server=attempt.endpoint_id
         )
 
-    def on_request_written(self, attempt: Attempt, timeout_ns: int) -> None:
-        """Check the invariants as the last byte of an attempt is written.
+    def on_request_written(self, attempt: Attempt, timeout_ns: int, written_at_ns: int) -> None:
+        """Check the invariants at the time of an attempt's write, in monotonic ns.
 
         `timeout_ns` is the time left that the request states to the server, in X-Deadline.
         """
-        now = monotonic_ns()  # ahead of the trace, whose output may take long
+        now = written_at_ns
         request = self._active.get(attempt.request_number)
         assert request is not None  # it has this attempt in flight
         self.record_attempt_event(attempt, Event.ATTEMPT_WRITTEN)
