Survive a SIGHUP during the start and behind the shutdown

A node that got SIGHUP before its handler was set, some 80 ms from its start, or after its event loop had closed, was killed by it (exit -1).

Evidence: the three new cases failed before: a SIGHUP as the program imports, as it is about to read its configuration, and ahead of its first line.

--- a/moleport/__main__.py
+++ b/moleport/__main__.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import gc
+import signal
 
 gc.disable()  # Until the node is ready: imports and configuration create next to no garbage.
 
+early_reloads: list[int] = []
+"""SIGHUPs from before the event loop handles them; by default they would end the process."""
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, lambda number, _: early_reloads.append(number))
+
 import asyncio
 import logging
 import os
-import signal
 import sys
 from collections.abc import Coroutine
 from typing import Any
@@ -33,12 +39,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     dispatcher, listener = build_node(config)
-    # By default SIGHUP ends the process.
-    loop.add_signal_handler(signal.SIGHUP, ConfigReloader(dispatcher).on_signal)
+    reloader = ConfigReloader(dispatcher)
+    loop.add_signal_handler(signal.SIGHUP, reloader.on_signal)
     dispatcher.start()
+    if early_reloads:
+        reloader.on_signal()  # the file may have changed since it was read
     await _wait_for_either(dispatcher.wait_until_endpoints_known(), stop.wait())
     if stop.is_set():  # nothing is accepted yet that would have to be completed
         dispatcher.telemetry.report()
+        _ignore_reloads(loop)
         return 0
     try:
         address = listener.listen()
@@ -53,9 +62,16 @@
     log.info("stopping")
     await shut_down(listener, dispatcher, plan_shutdown(config))
     dispatcher.telemetry.report()
+    _ignore_reloads(loop)
     return 0
 
 
+def _ignore_reloads(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore SIGHUP from now on; a closed event loop would leave it to end the process."""
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 async def _wait_for_either(*waits: Coroutine[Any, Any, object]) -> None:
     """Wait until one of them is done, and cancel the others."""
     tasks = [asyncio.ensure_future(wait) for wait in waits]
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -619,3 +619,40 @@
                 assert status(await (await node.client()).ask(request())) == 200
 
     run(test())
+
+
+# The program, with a SIGHUP to itself as it imports or reads the configuration, ahead of its event loop.
+HUNG_UP = """
+import os, runpy, signal, sys
+
+class HangUp:
+    def find_spec(self, name, *_):
+        if name == {module!r}:
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, HangUp())
+runpy.run_module("moleport", run_name="__main__", alter_sys=True)
+"""
+
+
+@pytest.mark.parametrize("module", ["uvloop", "moleport.node.node_factory"])
+def test_a_sighup_during_the_start_does_not_end_the_node(module: str, tmp_path: Path) -> None:
+    async def test() -> None:
+        async with (
+            Server("s-1") as server,
+            program(configuration(server), tmp_path, code=HUNG_UP.format(module=module)) as node,
+        ):
+            assert status(await (await node.client()).ask(request())) == 200
+            node.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(node.process.wait(), PATIENCE) == 0
+
+    run(test())
+
+
+def test_the_deployed_program_ignores_a_sighup_ahead_of_its_first_line() -> None:
+    """The shell that starts it ignores the signal, and the interpreter inherits that."""
+    deployed = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    probe = deployed.replace("exec .venv/bin/python -m moleport", "kill -HUP $$; exec echo started")
+    assert probe != deployed
+    shell = subprocess.run(["/bin/sh", "-c", probe], capture_output=True, text=True, check=True)
+    assert shell.stdout == "started\n"
