Review case 3: pipelined requests that a stopping node has read get no answer

Seen: where clients send four requests at once, a node that shuts down answers one of them with Connection: close and ends the connection; the requests that it has read behind that one are dropped.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+PYTHONPATH=.. exec ../../.venv/bin/python case.py
