--- a/review/3/case.py
+++ b/review/3/case.py
@@ -21,10 +21,10 @@
 ACCEPT_SECONDS = (0.066, 0.120)
 REQUESTS_PER_S = 30.0
 ACCEPT_RATIO = 0.18
-LOAD_SECONDS = 30.0
-TROUBLE_SECONDS = (2.0, 24.0)  # begin and end of the trouble, from the start of the load
-SECOND_REQUEST_COUNT = 120  # peers that stop in the middle of a request behind a complete GET /up
-FIRST_REQUEST_COUNT = 30  # peers that stop in the middle of their first request
+LOAD_SECONDS = 10.0
+TROUBLE_BEGINS_SECONDS = 2.0  # from the start of the load
+SECOND_REQUEST_COUNT = 200  # peers that stop in the middle of a request behind a complete GET /up
+FIRST_REQUEST_COUNT = 50  # peers that stop in the middle of their first request
 START_SPREAD_SECONDS = 0.4
 GRACE_SECONDS = 0.5 + 0.05  # how late an answer may be, and 50 ms for each time limit on sockets
 HALF_REQUEST = b"GET /api HTTP/1.1\r\nHost: service.internal\r\n"
@@ -37,28 +37,26 @@
 
 
 class StoppingPeer:
-    """Stops in the middle of a request and stays until the node answers or closes; then comes again."""
+    """Stops in the middle of a request and stays until the node has ended the connection."""
 
     def __init__(self, fleet: Fleet, is_first_request: bool, seen: Counter[str]) -> None:
         self._port = fleet.nodes[0].port
         self._is_first_request = is_first_request
         self._seen = seen
 
-    async def run(self, end: float) -> None:
-        """Come again until `end`, a monotonic time in seconds."""
+    async def run(self) -> None:
+        """Connect once, stop in the middle of a request, and wait for the end of the connection."""
         await asyncio.sleep(random.uniform(0.0, START_SPREAD_SECONDS))
-        while time.monotonic() < end:
-            with suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
-                self._seen["connections of stopping peers"] += 1
-                try:
-                    if self._is_first_request or await self._ask_whether_up(reader, writer):
-                        writer.write(HALF_REQUEST)
-                        self._seen["stopped in the middle"] += 1
-                    await reader.read()
-                finally:
-                    writer.close()
-            await asyncio.sleep(0.01)
+        with suppress(OSError, asyncio.IncompleteReadError):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+            self._seen["connections of stopping peers"] += 1
+            try:
+                if self._is_first_request or await self._ask_whether_up(reader, writer):
+                    writer.write(HALF_REQUEST)
+                    self._seen["stopped in the middle"] += 1
+                await reader.read()
+            finally:
+                writer.close()
 
     async def _ask_whether_up(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Send a whole GET /up; return whether its answer leaves the connection open."""
@@ -97,10 +95,10 @@
     load = clients.keep_sending(LOAD_SECONDS, REQUESTS_PER_S, ACCEPT_RATIO)
     seen: Counter[str] = Counter()
     if has_trouble():
-        await asyncio.sleep(TROUBLE_SECONDS[0])
+        await asyncio.sleep(TROUBLE_BEGINS_SECONDS)
         kinds = [False] * SECOND_REQUEST_COUNT + [True] * FIRST_REQUEST_COUNT
         stopping = [StoppingPeer(fleet, is_first, seen) for is_first in kinds]
-        await asyncio.gather(*(peer.run(began_at + TROUBLE_SECONDS[1]) for peer in stopping))
+        await asyncio.gather(*(peer.run() for peer in stopping))
     await load
     await clients.finish()
     statuses = Counter(request.status for request in clients.requests)
