Keep a new process from serving until its list is applied, however a watch ends

Cause: EndpointList._on_watch_failed set the flag that says "the list of discovery is applied". The first watch ended instead of telling, the node listened at once, and served its configuration's list until the second watch had delivered the drains.

Change: InitialListWait owns the wait and names each way out: an update is applied; no response to any watch for 0.5 s; no update 2.5 s after a watch was opened, at most 1.5 s more for all. A watch reports what ended it, and a local fault of a connect counts for nothing. Ends without an update are logged and counted. A silent agent keeps its 0.5 s.

--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -7,6 +7,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import cast
 
 import httptools
@@ -18,6 +19,7 @@
     parse_endpoints,
     parse_update_header,
 )
+from moleport.node.error_codes import LOCAL_FAULTS, classify_error
 from moleport.node.json_stream import JsonObjectSplitter
 
 log = logging.getLogger(__name__)
@@ -36,6 +38,21 @@
 SLICE_ENTRY_COUNT = 512
 
 
+class WatchEnd(Enum):
+    """What ended a discovery watch."""
+
+    LOCAL_FAULT = auto()
+    """The watch could not connect, through a fault of the node's own machine."""
+    NOT_CONNECTED = auto()
+    """The watch could not connect to discovery."""
+    NO_RESPONSE = auto()
+    """Discovery sent no response headers in time."""
+    SILENT = auto()
+    """Discovery sent response headers, and then no complete data in time."""
+    ENDED_BY_DISCOVERY = auto()
+    """Discovery closed the watch, refused it or sent something other than valid updates."""
+
+
 @dataclass(slots=True, eq=False)
 class _PartialUpdate:
     """An update whose entries are being parsed; the update is reported once all entries are valid."""
@@ -55,13 +72,14 @@
         address: tuple[str, int],
         version: int,
         on_update: Callable[[DiscoveryUpdate], None],
-        on_failed: Callable[[], None],
+        on_failed: Callable[[WatchEnd], None],
         response_timeout_s: float = AGENT_RESPONSE_TIMEOUT_S,
     ) -> None:
         """Prepare for a watch of `address` (host, port); `open_watch` opens it on the running event loop.
 
         The first watch requests the updates after `version`. `on_update` is called with each valid update,
-        `on_failed` once for each watch that ends in another way than by `close` or `change_address`.
+        `on_failed` once for each watch that ends in another way than by `close` or `change_address`. Its
+        argument tells what ended the watch.
         """
         self.response_timeout_s = response_timeout_s
         self._address = address
@@ -116,7 +134,12 @@
         try:
             await self._loop.create_connection(lambda: watch, *self._address)
         except OSError as error:
-            self.on_watch_ended(watch, f"connecting to discovery at {self._address} failed: {error!r}")
+            is_local_fault = classify_error(error) in LOCAL_FAULTS
+            self.on_watch_ended(
+                watch,
+                WatchEnd.LOCAL_FAULT if is_local_fault else WatchEnd.NOT_CONNECTED,
+                f"connecting to discovery at {self._address} failed: {error!r}",
+            )
 
     def is_current(self, watch: WatchConnection) -> bool:
         """Return whether a watch has been neither closed nor replaced."""
@@ -181,15 +204,15 @@
         self._partial_update = None
         # The changes in a rejected discovery update are unknown, so the next watch requests a snapshot.
         self._version = 0
-        self.on_watch_ended(watch, f"invalid endpoint list update: {error}")
+        self.on_watch_ended(watch, WatchEnd.ENDED_BY_DISCOVERY, f"invalid endpoint list update: {error}")
 
-    def on_watch_ended(self, watch: WatchConnection, reason: str) -> None:
+    def on_watch_ended(self, watch: WatchConnection, watch_end: WatchEnd, reason: str) -> None:
         """Log and report the end of the current watch; calls for any other watch are ignored."""
         if watch is not self._watch:
             return
         self.close()
         log.warning("discovery watch ended: %s", reason)
-        self._on_failed()
+        self._on_failed(watch_end)
 
 
 class WatchConnection(asyncio.Protocol):
@@ -207,6 +230,7 @@
         self._timeout = self._loop.call_at(
             self._opened_at + owner.response_timeout_s,
             self._end_watch,
+            WatchEnd.NO_RESPONSE,
             f"no response headers from discovery within {owner.response_timeout_s} s",
         )
 
@@ -218,13 +242,13 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _end_watch(self, reason: str) -> None:
+    def _end_watch(self, watch_end: WatchEnd, reason: str) -> None:
         """Finish parsing the current update, report the end of the watch, and close the connection."""
         if self._owner.is_current(self):
             try:
                 self._owner.finish_parsing()
             finally:
-                self._owner.on_watch_ended(self, reason)
+                self._owner.on_watch_ended(self, watch_end, reason)
         self.close()
 
     def _set_data_deadline(self, deadline: float) -> None:
@@ -235,7 +259,9 @@
         """
         self._timeout.cancel()
         if self._owner.is_current(self):
-            self._timeout = self._loop.call_at(deadline, self._end_watch, "no data from discovery in time")
+            self._timeout = self._loop.call_at(
+                deadline, self._end_watch, WatchEnd.SILENT, "no data from discovery in time"
+            )
 
     # Methods of `asyncio.Protocol`, which the event loop calls for the connection of a watch.
 
@@ -258,12 +284,12 @@
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._end_watch(f"malformed HTTP response from discovery: {error!r}")
+            self._end_watch(WatchEnd.ENDED_BY_DISCOVERY, f"malformed HTTP response from discovery: {error!r}")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the watch, because its connection was closed."""
         self._timeout.cancel()
-        self._end_watch(f"connection to discovery closed: {exc!r}")
+        self._end_watch(WatchEnd.ENDED_BY_DISCOVERY, f"connection to discovery closed: {exc!r}")
 
     # Callbacks of the HTTP parser (httptools) for discovery's response to a watch.
 
@@ -275,7 +301,9 @@
         if status == 200:
             self._set_data_deadline(self._opened_at + FIRST_DATA_TIMEOUT_S)
         elif status >= 200:
-            self._end_watch(f"discovery responded with status {status}, expected 200")
+            self._end_watch(
+                WatchEnd.ENDED_BY_DISCOVERY, f"discovery responded with status {status}, expected 200"
+            )
 
     def on_body(self, data: bytes) -> None:
         """Pass the JSON objects that `data` completes to the owner, and extend the deadline for data."""
@@ -285,8 +313,10 @@
         if objects or self._splitter.is_between_objects():
             self._set_data_deadline(self._loop.time() + DATA_TIMEOUT_S)
         if self._splitter.buffered_bytes() > MAX_UPDATE_BYTES:
-            self._end_watch(f"endpoint list update exceeds {MAX_UPDATE_BYTES} bytes")
+            self._end_watch(
+                WatchEnd.ENDED_BY_DISCOVERY, f"endpoint list update exceeds {MAX_UPDATE_BYTES} bytes"
+            )
 
     def on_message_complete(self) -> None:
         """End the watch; discovery ends the response only when it ends the watch."""
-        self._end_watch("discovery ended the response to the watch")
+        self._end_watch(WatchEnd.ENDED_BY_DISCOVERY, "discovery ended the response to the watch")
--- a/moleport/node/dispatcher.py
+++ b/moleport/node/dispatcher.py
@@ -89,7 +89,7 @@
         self.endpoint_list.discovery.change_address(config.discovery_address)
 
     async def wait_until_endpoints_known(self) -> None:
-        """Wait until discovery has sent its endpoint list, the watch has failed or a timeout has passed."""
+        """Wait until discovery has sent its endpoint list, is unreachable or a time limit has passed."""
         await self.endpoint_list.wait_until_synced()
 
     def fail_all_requests(self) -> None:
--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Collection
-from contextlib import suppress
 from itertools import islice
 from time import monotonic_ns
 
@@ -17,7 +17,8 @@
 from moleport.config.node_config import Config
 from moleport.node import discovery_watch
 from moleport.node.connection_pools import ConnectionPools
-from moleport.node.discovery_watch import DiscoveryClient
+from moleport.node.discovery_watch import DiscoveryClient, WatchEnd
+from moleport.node.initial_list_wait import InitialListWait, WaitResult
 from moleport.node.name_hashing import hash_name
 from moleport.node.reconnect_backoff import ReconnectBackoff
 from moleport.node.server_start_times import ServerStartTimes
@@ -25,6 +26,8 @@
 from moleport.policy.interface import DiscoveryMode, EndpointState, EndpointUpdateKind
 from moleport.telemetry import Event, Telemetry
 
+log = logging.getLogger(__name__)
+
 # Delay in s from a failure of the policy on an endpoint update to sending the complete list to the policy.
 RESYNC_DELAY_S = 1.0
 # Number of endpoints of a long discovery update that the policy is notified of in one event loop iteration.
@@ -56,7 +59,7 @@
         self._next_slice: asyncio.Handle | None = None
         self._resync_timer: asyncio.TimerHandle | None = None
         self._start_times = ServerStartTimes()
-        self._is_synced = asyncio.Event()
+        self._initial_wait = InitialListWait()
         self._backoff = ReconnectBackoff(config.seed, config.drain_grace_ns)
         self.discovery = DiscoveryClient(
             config.discovery_address,
@@ -73,18 +76,21 @@
         self._start_times.record(self._cached_endpoints, monotonic_ns())
         self._apply_update(EndpointUpdateKind.CACHED, self._cached_endpoints)
         if self._is_push_mode:
+            self._initial_wait.start()
             self.discovery.open_watch()
-        else:
-            self._is_synced.set()
 
     async def wait_until_synced(self) -> None:
-        """Wait until an update is applied, the watch has failed or `FIRST_DATA_TIMEOUT_S` has passed.
+        """Wait until an update is applied, or `InitialListWait` ends without one.
 
-        The endpoints of the configuration may be older than the list of discovery. The empty lines that
-        discovery sends while nothing changes do not end the wait. In poll mode there is no wait.
+        The endpoints of the configuration may be older than the list of discovery. In poll mode there is no
+        wait.
         """
-        with suppress(TimeoutError):
-            await asyncio.wait_for(self._is_synced.wait(), discovery_watch.FIRST_DATA_TIMEOUT_S)
+        if not self._is_push_mode:
+            return
+        result = await self._initial_wait.wait()
+        if result is not WaitResult.UPDATED:
+            self._telemetry.count(Event.INITIAL_LIST_MISSING, result=result.name)
+            log.warning("the endpoint list of the configuration is used as it is: %s", result.value)
 
     # Callbacks that the discovery client calls with endpoint updates and with the end of a watch.
 
@@ -96,12 +102,12 @@
         kind = EndpointUpdateKind.SNAPSHOT if update.is_snapshot else EndpointUpdateKind.DELTA
         self._apply_update(kind, update.endpoints)
         if not self._pending_endpoints:
-            self._is_synced.set()
+            self._initial_wait.on_update_applied()
 
-    def _on_watch_failed(self) -> None:
+    def _on_watch_failed(self, watch_end: WatchEnd) -> None:
         """In push mode open another watch after a backoff; in poll mode report the failure to the policy."""
-        self._is_synced.set()
-        self._telemetry.count(Event.WATCH_FAILED)
+        self._initial_wait.on_watch_ended(watch_end)
+        self._telemetry.count(Event.WATCH_FAILED, end=watch_end.name)
         if self._is_push_mode:
             self._loop.call_later(self._backoff.next_delay_seconds(), self.discovery.open_watch)
             return
@@ -190,7 +196,7 @@
             self._next_slice = self._loop.call_soon(self._apply_next_slice)
         else:
             self._next_slice = None
-            self._is_synced.set()
+            self._initial_wait.on_update_applied()
 
     def _apply_entries(
         self,
--- a/scale/lists.py
+++ b/scale/lists.py
@@ -219,7 +219,7 @@
     """Return the processor time from a snapshot's bytes to its entries, in ms."""
     data = update_text(2, True, range(size))
     updates: list[DiscoveryUpdate] = []
-    discovery = DiscoveryClient(("127.0.0.1", 1), 0, updates.append, lambda: None)
+    discovery = DiscoveryClient(("127.0.0.1", 1), 0, updates.append, lambda _: None)
     discovery._watch = watch = WatchConnection(discovery)
     started_at = thread_time()
     for begin in range(0, len(data), READ_BYTES):
--- a/tests/node/test_discovery_reconnect.py
+++ b/tests/node/test_discovery_reconnect.py
@@ -225,7 +225,7 @@
     reported: list[DiscoveryUpdate] = []
 
     async def test() -> None:
-        client = discovery.DiscoveryClient(("127.0.0.1", 1), 0, reported.append, lambda: None)
+        client = discovery.DiscoveryClient(("127.0.0.1", 1), 0, reported.append, lambda _: None)
         replaced = discovery.WatchConnection(client)
         current = client._watch = discovery.WatchConnection(client)
         listed = entries(range(3 * discovery.SLICE_ENTRY_COUNT))
