--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -20,6 +20,7 @@
     parse_update_header,
 )
 from moleport.node.error_codes import LOCAL_FAULTS, classify_error
+from moleport.node.hold_detector import MIN_HOLD_NS, HoldDetector
 from moleport.node.json_stream import JsonObjectSplitter
 
 log = logging.getLogger(__name__)
@@ -29,6 +30,8 @@
 # service that all nodes share queues their requests, so its timeout is longer.
 AGENT_RESPONSE_TIMEOUT_S = 0.5
 SHARED_RESPONSE_TIMEOUT_S = 2.5
+# Further time for the response headers of a discovery watch, if the node was held while it waited for them.
+HOLD_EXTENSION_S = 0.5
 # Discovery sends an empty line as soon as a watch opens, and then at least every 2 s.
 # White space between two JSON objects, such as an empty line, counts as data of the watch.
 FIRST_DATA_TIMEOUT_S = 2.5  # limit on the time from the opening of a discovery watch to its first data
@@ -73,6 +76,7 @@
         version: int,
         on_update: Callable[[DiscoveryUpdate], None],
         on_failed: Callable[[WatchEnd], None],
+        hold_detector: HoldDetector,
         response_timeout_s: float = AGENT_RESPONSE_TIMEOUT_S,
     ) -> None:
         """Prepare for a watch of `address` (host, port); `open_watch` opens it on the running event loop.
@@ -82,6 +86,7 @@
         argument tells what ended the watch.
         """
         self.response_timeout_s = response_timeout_s
+        self.hold_detector = hold_detector
         self._address = address
         self._version = version
         self._on_update = on_update
@@ -227,11 +232,9 @@
         self._splitter = JsonObjectSplitter()
         self._loop = asyncio.get_running_loop()
         self._opened_at = self._loop.time()
+        self._hold_at_opening_ns = owner.hold_detector.total_hold_ns()
         self._timeout = self._loop.call_at(
-            self._opened_at + owner.response_timeout_s,
-            self._end_watch,
-            WatchEnd.NO_RESPONSE,
-            f"no response headers from discovery within {owner.response_timeout_s} s",
+            self._opened_at + owner.response_timeout_s, self._on_response_timeout
         )
 
     def close(self) -> None:
@@ -251,6 +254,20 @@
                 self._owner.on_watch_ended(self, watch_end, reason)
         self.close()
 
+    def _on_response_timeout(self) -> None:
+        """End the watch, which has no response headers, or extend its timeout once after a hold.
+
+        In a hold, the node neither finished connecting nor read a response that had arrived.
+        """
+        hold_ns = self._owner.hold_detector.total_hold_ns() - self._hold_at_opening_ns
+        if hold_ns < MIN_HOLD_NS:
+            self._end_without_response()
+        else:
+            self._timeout = self._loop.call_later(HOLD_EXTENSION_S, self._end_without_response)
+
+    def _end_without_response(self) -> None:
+        self._end_watch(WatchEnd.NO_RESPONSE, "no response headers from discovery in time")
+
     def _set_data_deadline(self, deadline: float) -> None:
         """End the watch at `deadline`, in seconds of the loop's clock, unless a later call replaces it.
 
--- a/moleport/node/dispatcher.py
+++ b/moleport/node/dispatcher.py
@@ -49,7 +49,7 @@
         self.telemetry = Telemetry()
         self.hold_detector = HoldDetector(self.telemetry)
         self.requests = RequestRegistry(config, self.telemetry, dispatch_event)
-        self.endpoint_list = EndpointList(config, pools, self.telemetry, dispatch_event)
+        self.endpoint_list = EndpointList(config, pools, self.hold_detector, self.telemetry, dispatch_event)
         self._timers = PolicyTimers(dispatch_event)
         attempts = AttemptSupervisor(
             config, pools, self.requests, self.hold_detector, self.telemetry, dispatch_event
--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -18,6 +18,7 @@
 from moleport.node import discovery_watch
 from moleport.node.connection_pools import ConnectionPools
 from moleport.node.discovery_watch import DiscoveryClient, WatchEnd
+from moleport.node.hold_detector import HoldDetector
 from moleport.node.initial_list_wait import InitialListWait, WaitResult
 from moleport.node.name_hashing import hash_name
 from moleport.node.reconnect_backoff import ReconnectBackoff
@@ -41,6 +42,7 @@
         self,
         config: Config,
         pools: ConnectionPools,
+        hold_detector: HoldDetector,
         telemetry: Telemetry,
         dispatch_event: Callable[[api.Event], None],
     ) -> None:
@@ -66,6 +68,7 @@
             config.cached_endpoints.version,
             self.on_update,
             self._on_watch_failed,
+            hold_detector,
             discovery_watch.AGENT_RESPONSE_TIMEOUT_S
             if self._is_push_mode
             else discovery_watch.SHARED_RESPONSE_TIMEOUT_S,
--- a/scale/lists.py
+++ b/scale/lists.py
@@ -23,10 +23,12 @@
 from moleport.config.node_config import Config, load
 from moleport.node.connection_pools import ConnectionPools
 from moleport.node.discovery_watch import DiscoveryClient, WatchConnection
+from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
 from moleport.node.node_factory import build_node
 from moleport.policy import Balancer
 from moleport.policy import interface as api
+from moleport.telemetry import Telemetry
 
 SIZES = (60, 200, 1000, 3600, 7200)
 SMOKE_SIZES = (60, 200)
@@ -219,7 +221,8 @@
     """Return the processor time from a snapshot's bytes to its entries, in ms."""
     data = update_text(2, True, range(size))
     updates: list[DiscoveryUpdate] = []
-    discovery = DiscoveryClient(("127.0.0.1", 1), 0, updates.append, lambda _: None)
+    hold_detector = HoldDetector(Telemetry(trace=False))
+    discovery = DiscoveryClient(("127.0.0.1", 1), 0, updates.append, lambda _: None, hold_detector)
     discovery._watch = watch = WatchConnection(discovery)
     started_at = thread_time()
     for begin in range(0, len(data), READ_BYTES):
--- a/tests/node/test_discovery_reconnect.py
+++ b/tests/node/test_discovery_reconnect.py
@@ -12,11 +12,13 @@
 
 from moleport.config.endpoints import DiscoveryUpdate, parse_address
 from moleport.node import discovery_watch as discovery
+from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
 from moleport.node.reconnect_backoff import MAX_DOUBLINGS, MAX_DRAIN_GRACE_FRACTION, MIN_DELAY_SECONDS
 from moleport.policy import discovery_polling
 from moleport.policy import interface as api
 from moleport.policy.interface import EndpointUpdateKind
+from moleport.telemetry import Telemetry
 
 
 @pytest.mark.parametrize("is_old_reachable", [False, True])
@@ -57,7 +59,10 @@
     next_watch_s = MIN_DELAY_SECONDS + discovery.FIRST_DATA_TIMEOUT_S + 2 * MIN_DELAY_SECONDS
     assert discovery.DATA_TIMEOUT_S + next_watch_s < delivery_limit_s
     assert (
-        discovery.FIRST_DATA_TIMEOUT_S + max_delay_s + discovery.AGENT_RESPONSE_TIMEOUT_S
+        discovery.FIRST_DATA_TIMEOUT_S
+        + max_delay_s
+        + discovery.AGENT_RESPONSE_TIMEOUT_S
+        + discovery.HOLD_EXTENSION_S
         < delivery_limit_after_sighup_s
     )
     assert max_delay_s < drain_grace_s  # an agent that is reachable again sends its updates at once
@@ -225,7 +230,10 @@
     reported: list[DiscoveryUpdate] = []
 
     async def test() -> None:
-        client = discovery.DiscoveryClient(("127.0.0.1", 1), 0, reported.append, lambda _: None)
+        hold_detector = HoldDetector(Telemetry(trace=False))
+        client = discovery.DiscoveryClient(
+            ("127.0.0.1", 1), 0, reported.append, lambda _: None, hold_detector
+        )
         replaced = discovery.WatchConnection(client)
         current = client._watch = discovery.WatchConnection(client)
         listed = entries(range(3 * discovery.SLICE_ENTRY_COUNT))
--- a/tests/node/test_initial_list_wait.py
+++ b/tests/node/test_initial_list_wait.py
@@ -5,18 +5,32 @@
 import asyncio
 import errno
 import json
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
-from rig import TEST_TIMEOUT_SECONDS, Client, Server, answer, configuration, read_message, request, reset, run
+from rig import (
+    TEST_TIMEOUT_SECONDS,
+    Client,
+    Discovery,
+    Rig,
+    Server,
+    answer,
+    configuration,
+    read_message,
+    request,
+    reset,
+    run,
+)
 from rig import status as status_of
 from test_process import program
 
 from moleport.node import discovery_watch
 from moleport.node.discovery_watch import WatchEnd
 from moleport.node.initial_list_wait import MAX_FURTHER_WATCHES_S, InitialListWait, WaitResult
+from moleport.node.name_hashing import hash_name
 from soak.shims import Faults
 
 WATCH_HEADERS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -167,3 +181,23 @@
 
     assert MAX_FURTHER_WATCHES_S > discovery_watch.AGENT_RESPONSE_TIMEOUT_S
     run(test())
+
+
+@pytest.mark.parametrize("held_step", ["connecting", "responding"])
+def test_a_hold_of_the_node_is_not_taken_for_a_silent_agent(held_step: str, tmp_path: Path) -> None:
+    """Guards against serving an outdated list because the node did not run while its agent responded."""
+
+    async def test() -> None:
+        async with Discovery() as agent, Server("s-1") as drained, Server("s-2") as listed:
+            document = configuration(drained, discovery=agent.address)
+            document["settings"]["MembershipMode"] = "pushed"
+            update = json.dumps({"version": 9, "full": True, "servers": [listed.entry()]}).encode() + b"\n"
+            agent.reply += b"%x\r\n%s\r\n" % (len(update), update)
+            async with Rig(document) as rig:
+                while held_step == "responding" and not agent.targets:
+                    await asyncio.sleep(0)
+                time.sleep(discovery_watch.AGENT_RESPONSE_TIMEOUT_S + 0.1)
+                await rig.node.wait_until_endpoints_known()
+                assert rig.node._ready_endpoint_ids == {hash_name("s-2")}
+
+    run(test())
