Format responses to clients in a module of their own

The bytes of a response do not depend on the connection's state, so they are formatted by a function.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -30,6 +30,7 @@
 from moleport.node.parsed_request import READINESS_PATH, ParsedRequest
 from moleport.node.request import ClientRequest
 from moleport.node.request_parser import RequestParser
+from moleport.node.response_format import format_response
 from moleport.telemetry import Event
 from moleport.units import NS_PER_SECOND
 
@@ -38,7 +39,6 @@
 # Limit in bytes on the client data that is read and discarded after a connection's last response.
 MAX_LINGERING_BYTES = 128 << 10
 
-REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -311,17 +311,7 @@
             and not self._context.is_draining
             and not self._table.is_full()
         )
-        # A server may send an unregistered status code; its reason phrase is left empty.
-        lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASON_PHRASES.get(status, b""))]
-        for name, value in headers:
-            lines += (name, b": ", value, b"\r\n")
-        if status == 405:
-            lines.append(b"Allow: GET, POST\r\n")
-        lines.append(b"Content-Length: %d\r\n" % len(body))
-        if not keep_alive:
-            lines.append(b"Connection: close\r\n")
-        lines += (b"\r\n", body)
-        transport.write(b"".join(lines))
+        transport.write(format_response(status, headers, body, keep_alive))
         self._is_closing = not keep_alive
         if transport.get_write_buffer_size():
             self._limit_write_time(transport)
