Give the state that client connections share a module of its own

ClientContext moves unchanged to client_context.py. No change of behaviour: the tests of clients and sizes pass.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -21,9 +21,7 @@
 from time import monotonic_ns
 from typing import cast
 
-from moleport.config.node_config import Config
-from moleport.node.connection_table import ConnectionTable
-from moleport.node.dispatcher import Dispatcher
+from moleport.node.client_context import ClientContext
 from moleport.node.hold_detector import MIN_HOLD_NS
 from moleport.node.kernel_socket import is_readable, is_reset, last_data_age_ns
 from moleport.node.name_hashing import hash_key
@@ -42,22 +40,6 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ClientContext:
-    """The dispatcher, configuration, connection table and shutdown state that client connections share."""
-
-    __slots__ = ("config", "dispatcher", "is_draining", "is_stopping", "table")
-
-    def __init__(self, dispatcher: Dispatcher, config: Config, table: ConnectionTable) -> None:
-        """Create the context for a node that is not shutting down."""
-        self.dispatcher = dispatcher
-        self.config = config
-        self.table = table
-        # Whether the node's shutdown has begun and readiness checks are answered with 503.
-        self.is_stopping = False
-        # Whether each response closes its client connection, as the node is shutting down.
-        self.is_draining = False
-
-
 class ClientConnection(asyncio.Protocol):
     """One client's connection; its requests are processed one at a time."""
 
--- a/moleport/node/listener.py
+++ b/moleport/node/listener.py
@@ -9,7 +9,8 @@
 from contextlib import suppress
 
 from moleport.config.node_config import Config
-from moleport.node.client_connection import ClientConnection, ClientContext
+from moleport.node.client_connection import ClientConnection
+from moleport.node.client_context import ClientContext
 from moleport.node.connection_table import ConnectionTable
 from moleport.node.dispatcher import Dispatcher
 from moleport.node.error_codes import Fault, classify_error
