Reclaim the slots of partial requests, whichever request of a connection it is

Cause: a connection whose second or later request is incomplete was in none of the groups that a full table closes; only its time limit of 2 s ended it. Such peers filled the table, and ordinary clients waited in the accept queue.

Evidence: the new counter client_table_full, whose trace has the slots by state.

Change: new and reading connections are reclaimed alike from 0.1 s on, the one that has been incomplete for longest first, so a byte now and then gains nothing. A partial request is answered with 408 ahead of the close; one whose rest is unread in the kernel is kept. Responses do not close their connection while partial requests can be reclaimed.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -318,7 +318,7 @@
         self._is_busy = False
         if not self._is_closing:
             self._advance()
-        elif self._is_half_closed:
+        elif self._is_half_closed or transport.is_closing():
             transport.close()
         else:
             self._start_lingering_close(transport)
@@ -337,13 +337,29 @@
 
     def time_out(self) -> None:
         """Close a connection that has exceeded a time limit; answer 408 to a partial request."""
-        telemetry = self._context.dispatcher.telemetry
         if self._parser.has_partial_request():
-            telemetry.count(Event.CLIENT_TIMED_OUT)
-            self._parser.error_status = HTTPStatus.REQUEST_TIMEOUT
-            self._advance()
+            self._reject_partial_request()
         elif self.close_if_nothing_unread():
-            telemetry.count(Event.CLIENT_CLOSED_IDLE)
+            self._context.dispatcher.telemetry.count(Event.CLIENT_CLOSED_IDLE)
+
+    def _reject_partial_request(self) -> None:
+        self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
+        self._parser.error_status = HTTPStatus.REQUEST_TIMEOUT
+        self._advance()
+
+    def reclaim(self) -> bool:
+        """Close the connection to free its slot, unless it has unread data; return whether it is closed.
+
+        A partial request is answered with 408. There is no lingering close, which would keep the slot in use.
+        """
+        transport = self._transport
+        if transport is None or not self._parser.has_partial_request():
+            return self.close_if_nothing_unread()
+        if self._is_readable():
+            return False
+        self._reject_partial_request()
+        transport.close()
+        return True
 
     def close(self) -> None:
         """Close the connection once all responses are written."""
--- a/moleport/node/connection_table.py
+++ b/moleport/node/connection_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Protocol
 
@@ -24,7 +25,7 @@
 # Fraction of all client slots that idle connections may use.
 # Above MAX_IDLE_RATIO, the connections that have been idle longest are closed, if idle for MIN_IDLE_SECONDS.
 MAX_IDLE_RATIO = 0.15
-# Time that a client connection must have been new or idle before it may be closed to free its client slot.
+# Time that a client connection must have been new, idle or reading before it may be closed to free its slot.
 MIN_RECLAIM_AGE_SECONDS = 0.1
 MAX_LINGERING_SECONDS = 1.0  # time limit of a lingering close, in which client data is read and discarded
 # Fraction of all client slots that lingering connections may use, above which the oldest of them is aborted.
@@ -45,8 +46,11 @@
         """Close the connection because it has exceeded a time limit."""
         ...
 
-    def close_if_nothing_unread(self) -> bool:
-        """Close the connection unless it has unread data; return whether it is closed."""
+    def reclaim(self) -> bool:
+        """Close the connection to free its slot, unless it has unread data; return whether it is closed.
+
+        A partial request is answered with 408 before.
+        """
         ...
 
     def close_if_unused(self) -> None:
@@ -100,9 +104,23 @@
         if self.has_free_slot():
             self._on_slot_freed()
 
+    def slots_by_state(self) -> dict[str, int]:
+        """Return the number of used slots by the state of their connections."""
+        counts = {
+            "new": len(self._new),
+            "idle": len(self._idle),
+            "reading": len(self._reading),
+            "lingering": len(self._lingering),
+        }
+        counts["active"] = len(self.connections) - sum(counts.values())
+        counts["connecting"] = self.open_count - len(self.connections)
+        return counts
+
     def is_full(self) -> bool:
-        """Return whether no slot is free and no connection is lingering, new or idle."""
-        return self.open_count >= self.max_connections and not (self._lingering or self._new or self._idle)
+        """Return whether no slot is free and no connection is lingering, new, reading or idle."""
+        return self.open_count >= self.max_connections and not (
+            self._lingering or self._new or self._reading or self._idle
+        )
 
     # Methods by which client connections report changes of their state to the connection table.
 
@@ -153,10 +171,11 @@
     def reclaim_slot(self, connecting_count: int) -> bool:
         """Close one connection to free its slot; return whether a connection could be closed.
 
-        Lingering connections are closed first, then new ones, then idle ones. While new connections, with the
-        `connecting_count` that are still being set up, exceed `IDLE_PROTECTION_RATIO`, no idle connection is
-        closed: some of the new ones can be reclaimed `MIN_RECLAIM_AGE_SECONDS` after they connected. A client
-        whose request crosses with the close sends the request again on another connection.
+        Lingering connections are closed first, then those without a complete request (new or reading), and
+        then idle ones. While new connections, with the `connecting_count` that are still being set up, exceed
+        `IDLE_PROTECTION_RATIO`, no idle connection is closed: some of the new ones can be reclaimed
+        `MIN_RECLAIM_AGE_SECONDS` after they connected. A client whose request crosses with the close sends
+        the request again on another connection.
         """
         if self._lingering:
             oldest = next(iter(self._lingering))
@@ -165,8 +184,9 @@
             oldest.abort()
             return True
         latest_entry = self._loop.time() - MIN_RECLAIM_AGE_SECONDS
-        if self._reclaim_oldest(self._new, latest_entry):
-            return True
+        for entry_times in sorted((self._new, self._reading), key=_earliest_entry):
+            if self._reclaim_oldest(entry_times, latest_entry):
+                return True
         if len(self._new) + connecting_count > IDLE_PROTECTION_RATIO * self.max_connections:
             return False
         return self._reclaim_oldest(self._idle, latest_entry)
@@ -176,8 +196,8 @@
         for connection, entered_at in entry_times.items():
             if entered_at > latest_entry:
                 return False
-            if connection.close_if_nothing_unread():
-                del entry_times[connection]
+            if connection.reclaim():
+                entry_times.pop(connection, None)
                 self._telemetry.count(Event.CLIENT_RECLAIMED)
                 return True
         return False
@@ -187,7 +207,7 @@
         latest_entry = self._loop.time() - MIN_IDLE_SECONDS
         while len(self._idle) > MAX_IDLE_RATIO * self.max_connections:
             oldest, entered_at = next(iter(self._idle.items()))
-            if entered_at > latest_entry or not oldest.close_if_nothing_unread():
+            if entered_at > latest_entry or not oldest.reclaim():
                 break
             del self._idle[oldest]
             self._telemetry.count(Event.CLIENT_RECLAIMED)
@@ -223,6 +243,11 @@
             connection.close_if_unused()
 
 
+def _earliest_entry(entry_times: EntryTimes) -> float:
+    """Return the loop time, in s, at which the oldest connection entered the state; infinite if none has."""
+    return next(iter(entry_times.values()), math.inf)
+
+
 def _entered_before(entry_times: EntryTimes, latest_entry: float) -> list[TrackedConnection]:
     """Return the connections that entered the state by `latest_entry` (loop time in s)."""
     overdue = []
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -45,6 +45,8 @@
     """A client connection was closed because the client sent no request for too long."""
     CLIENT_RECLAIMED = "client_reclaimed"
     """A client connection was closed to free its slot for another client."""
+    CLIENT_TABLE_FULL = "client_table_full"
+    """A client waited in the accept queue, as no slot was free; the trace contains the slots by state."""
     ACCEPT_FAILED = "accept_failed"
     """The system call to accept a client connection failed."""
     ATTEMPT_WRITTEN = "attempt_written"
--- a/tests/node/test_client_slots.py
+++ b/tests/node/test_client_slots.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+from contextlib import suppress
 
 import pytest
 from rig import Message, Rig, Server, answer, configuration, request, run, status, until
@@ -183,3 +184,115 @@
             await shutdown
 
     run(test())
+
+
+DEADLINE_SECONDS = 0.3  # of the ordinary requests beside stopping peers
+# Time after its deadline in which a request may still get its final answer; time limits on sockets are 50 ms
+# longer.
+MAX_LATE_SECONDS = 0.5 + 0.05
+MAX_PEER_SECONDS = 3.0 + 0.05  # time in which a peer that sends no complete request gets an error or a close
+HALF_REQUEST = b"GET /api HTTP/1.1\r\nHost: service.internal\r\n"
+TRICKLED_HEADER = b"X-Trickled: 1\r\n"
+
+
+async def stop_in_a_request(rig: Rig, is_first_request: bool, trickles: bool) -> float:
+    """Stop in the middle of a request, or trickle it; return the time until the node ends the connection."""
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    with suppress(OSError, asyncio.IncompleteReadError):
+        client = await rig.client()
+        if not is_first_request:
+            await client.exchange(request(target="/up", method="GET"))
+        client.writer.write(HALF_REQUEST)
+        end = asyncio.create_task(client.read_to_end())
+        while trickles and not end.done():
+            await asyncio.sleep(0.03)
+            client.writer.write(TRICKLED_HEADER)
+        await end
+        client.writer.close()
+    return loop.time() - started_at
+
+
+async def send_ordinary_request(rig: Rig) -> tuple[int, float]:
+    """Send a request on a new connection, once more if that is closed; return its status and its time."""
+    loop = asyncio.get_running_loop()
+    while True:
+        sent_at = loop.time()
+        client = await rig.client()
+        try:
+            response = await client.exchange(request(X_Deadline=f"{DEADLINE_SECONDS * 1000:.0f}m"))
+        except (OSError, asyncio.IncompleteReadError):
+            continue
+        finally:
+            client.writer.close()
+        return status(response), loop.time() - sent_at
+
+
+@pytest.mark.parametrize("trickles", [False, True], ids=["stopping", "trickling"])
+@pytest.mark.parametrize("first_request_ratio", [0.0, 0.2, 1.0])
+def test_peers_that_stop_in_a_request_do_not_keep_others_from_being_answered_in_time(
+    first_request_ratio: float, trickles: bool
+) -> None:
+    """Guards against a full table whose slots are all held by incomplete requests and can't be reclaimed."""
+    slot_count, peer_count, request_count = 20, 60, 100
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            rig.listener.table.max_connections = slot_count
+            peers = [
+                asyncio.create_task(
+                    stop_in_a_request(rig, number < first_request_ratio * peer_count, trickles)
+                )
+                for number in range(peer_count)
+            ]
+            requests = []
+            for _ in range(request_count):
+                requests.append(asyncio.create_task(send_ordinary_request(rig)))
+                await asyncio.sleep(0.01)
+            times = [seconds for _, seconds in await asyncio.gather(*requests)]
+            assert max(times) <= DEADLINE_SECONDS + MAX_LATE_SECONDS
+            statuses = [request_status for request_status, _ in await asyncio.gather(*requests)]
+            assert statuses.count(200) >= 0.5 * request_count
+            assert max(await asyncio.gather(*peers)) <= MAX_PEER_SECONDS
+
+    run(test())
+
+
+def test_a_reclaimed_partial_request_is_answered_with_408() -> None:
+    """Guards against a request that ends without any answer: its client may be slow, not stopped."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            slow_client = await rig.client()
+            assert status(await slow_client.exchange(request())) == 200
+            slow_client.writer.write(HALF_REQUEST)
+            await until(lambda: rig.listener.table._reading)
+            rig.listener.table.max_connections = 1
+            other_client = await rig.client()
+            async with asyncio.timeout(MAX_LATE_SECONDS):
+                assert status(await other_client.exchange(request())) == 200
+                assert status(await slow_client.read()) == 408
+            assert await slow_client.read_to_end() == b""
+            assert len(server.seen) == 2
+
+    run(test())
+
+
+def test_a_partial_request_whose_rest_is_unread_is_not_reclaimed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against losing a request that is complete in the kernel when its slot is needed."""
+    monkeypatch.setattr(connection_table, "MIN_RECLAIM_AGE_SECONDS", 0.0)
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            assert status(await client.exchange(request())) == 200
+            data = request()
+            client.writer.write(data[:20])
+            await until(lambda: rig.listener.table._reading)
+            # The event loop does not run, so the node does not read this before its slot is to be reclaimed.
+            assert os.write(client.writer.get_extra_info("socket").fileno(), data[20:])
+            assert not rig.listener.table.reclaim_slot(connecting_count=0)
+            assert status(await client.read()) == 200
+            assert len(server.seen) == 2
+
+    run(test())
