--- a/tests/node/test_client_slots.py
+++ b/tests/node/test_client_slots.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 
 import pytest
-from rig import Message, Rig, Server, answer, configuration, request, run, status, until
+from rig import Rig, Server, configuration, request, respond_when, run, status, until
 
 from moleport.node import connection_table, listener
 
@@ -164,9 +164,7 @@
     """The listening socket stays open while clients wait to be accepted."""
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server, Rig(configuration(server)) as rig:
--- a/tests/node/test_clients.py
+++ b/tests/node/test_clients.py
@@ -16,6 +16,7 @@
     never_respond,
     request,
     request_class,
+    respond_when,
     respond_with,
     run,
     status,
@@ -170,9 +171,7 @@
     """A second request with the id of one in flight gets 409."""
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server, Rig(configuration(server)) as rig:
@@ -193,9 +192,7 @@
     """After a half-close a complete request is answered; a partial one is dropped with its connection."""
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server, Rig(configuration(server)) as rig:
@@ -225,9 +222,7 @@
     """The client's end of stream is queued in the kernel behind unread requests."""
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server, Rig(configuration(server)) as rig:
@@ -258,9 +253,7 @@
     async def test() -> None:
         release = asyncio.Event()
 
-        async def reject_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-            await release.wait()
-            writer.write(answer(503, X_Not_Run="1"))
+        reject_when_released = respond_when(release, answer(503, X_Not_Run="1"))
 
         async with (
             Server("s-1", reject_when_released) as one,
--- a/tests/node/test_connections.py
+++ b/tests/node/test_connections.py
@@ -16,6 +16,7 @@
     never_respond,
     request,
     respond_ok,
+    respond_when,
     respond_with,
     run,
     status,
@@ -157,9 +158,7 @@
 def test_a_draining_or_removed_server_gets_no_new_request_and_finishes_those_in_flight(state: str) -> None:
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer(body=b"late"))
+    respond_when_released = respond_when(release, answer(body=b"late"))
 
     async def test() -> None:
         async with Server("s-1") as server, Server("s-2") as other, Rig(configuration(server)) as rig:
@@ -340,9 +339,7 @@
 def test_a_drain_between_two_attempts_is_respected(request_class: str) -> None:
     release = asyncio.Event()
 
-    async def reject_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer(503, X_Not_Run="1"))
+    reject_when_released = respond_when(release, answer(503, X_Not_Run="1"))
 
     async def test() -> None:
         async with (
@@ -364,9 +361,7 @@
 def test_a_drain_is_respected_for_a_request_queued_behind_its_key() -> None:
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server:
--- a/tests/node/test_departures.py
+++ b/tests/node/test_departures.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from rig import Message, Rig, Server, configuration, request, request_class, reset, run, until
+from rig import Message, Rig, Server, configuration, request, request_class, reset, respond_when, run, until
 
 from moleport.node import connection_pool
 from moleport.policy import interface as api
@@ -110,9 +110,7 @@
     monkeypatch.setattr(connection_pool, "MIN_REUSE_DELAY_NS", 0)
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    respond_when_released = respond_when(release, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server, Rig(configuration(server)) as rig:
--- a/tests/node/test_holds.py
+++ b/tests/node/test_holds.py
@@ -8,7 +8,20 @@
 from time import sleep
 
 import pytest
-from rig import Discovery, Message, Rig, Server, answer, configuration, request, reset, run, status, until
+from rig import (
+    Discovery,
+    Message,
+    Rig,
+    Server,
+    answer,
+    configuration,
+    request,
+    reset,
+    respond_when,
+    run,
+    status,
+    until,
+)
 from test_process import program
 
 from moleport.node.hold_detector import HoldDetector
@@ -178,9 +191,7 @@
     """The time of a first request must not start with that of the oldest client in the accept queue."""
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server, Rig(configuration(server)) as rig:
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -30,6 +30,7 @@
     request,
     request_class,
     reset,
+    respond_when,
     respond_with,
     run,
     status,
@@ -393,9 +394,7 @@
 def test_a_request_queued_for_its_key_is_dropped_if_its_client_disconnects(how: str) -> None:
     release = asyncio.Event()
 
-    async def respond_when_released(_: Message, writer: asyncio.StreamWriter) -> None:
-        await release.wait()
-        writer.write(answer())
+    respond_when_released = respond_when(release)
 
     async def test() -> None:
         async with Server("s-1", respond_when_released) as server:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -119,6 +119,16 @@
     return script
 
 
+def respond_when(release: asyncio.Event, data: bytes = answer()) -> Script:
+    """Return a script that sends the data once `release` is set."""
+
+    async def script(_: Message, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(data)
+
+    return script
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection; without SO_LINGER an abort closes it in order if no received data is unread."""
     connection_socket = writer.get_extra_info("socket")
