--- a/moleport/node/client_context.py
+++ b/moleport/node/client_context.py
@@ -1,4 +1,4 @@
-"""What all client connections of a node share."""
+"""The state that all client connections of a node share."""
 
 from __future__ import annotations
 
--- a/moleport/node/connection_table.py
+++ b/moleport/node/connection_table.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from moleport.node.hold_detector import HoldDetector
 from moleport.telemetry import Event, Telemetry
@@ -58,6 +58,18 @@
         ...
 
 
+class SlotCounts(NamedTuple):
+    """The numbers of used client slots, by the state of their connections; see `ConnectionTable`."""
+
+    connecting: int
+    """Slots of accepted connections that are still being set up."""
+    new: int
+    idle: int
+    reading: int
+    active: int
+    lingering: int
+
+
 EntryTimes = dict[TrackedConnection, float]
 """The loop time, in s, at which each connection in one state entered the state; oldest first."""
 
@@ -104,17 +116,19 @@
         if self.has_free_slot():
             self._on_slot_freed()
 
-    def slots_by_state(self) -> dict[str, int]:
+    def slot_counts(self) -> SlotCounts:
         """Return the number of used slots by the state of their connections."""
-        counts = {
-            "new": len(self._new),
-            "idle": len(self._idle),
-            "reading": len(self._reading),
-            "lingering": len(self._lingering),
-        }
-        counts["active"] = len(self.connections) - sum(counts.values())
-        counts["connecting"] = self.open_count - len(self.connections)
-        return counts
+        active = len(self.connections) - sum(
+            len(entry_times) for entry_times in (self._new, self._idle, self._reading, self._lingering)
+        )
+        return SlotCounts(
+            connecting=self.open_count - len(self.connections),
+            new=len(self._new),
+            idle=len(self._idle),
+            reading=len(self._reading),
+            active=active,
+            lingering=len(self._lingering),
+        )
 
     def is_full(self) -> bool:
         """Return whether no slot is free and no connection is lingering, new, reading or idle."""
--- a/moleport/node/listener.py
+++ b/moleport/node/listener.py
@@ -91,7 +91,7 @@
         )
         for _ in range(ACCEPT_BATCH_CONNECTIONS):
             if not self.table.has_free_slot() and not self.table.reclaim_slot(len(self._setup_tasks)):
-                self._telemetry.count(Event.CLIENT_TABLE_FULL, **self.table.slots_by_state())
+                self._telemetry.count(Event.CLIENT_TABLE_FULL, **self.table.slot_counts()._asdict())
                 self._pause_accepting()
                 self._schedule_retry()
                 return
--- a/tests/node/test_client_slots.py
+++ b/tests/node/test_client_slots.py
@@ -7,9 +7,11 @@
 from contextlib import suppress
 
 import pytest
-from rig import Rig, Server, configuration, request, respond_when, run, status, until
+from rig import Rig, Server, configuration, never_respond, request, respond_when, run, status, until
 
 from moleport.node import connection_table, listener
+from moleport.node.connection_table import SlotCounts
+from moleport.telemetry import Event
 
 
 @pytest.mark.parametrize("sent", [b"", b"POST /api HTTP/1.1\r\nX-Cl", request(body=b"xy")[:-1]])
@@ -294,3 +296,27 @@
             assert len(server.seen) == 2
 
     run(test())
+
+
+def test_a_full_table_counts_its_slots_by_state() -> None:
+    """Guards against a full table that looks like a slow accept: the counts tell which state fills it."""
+
+    async def test() -> None:
+        async with Server("s-1", never_respond) as server, Rig(configuration(server)) as rig:
+            active, new, reading, idle = [await rig.client() for _ in range(4)]
+            assert status(await reading.exchange(request(target="/up", method="GET"))) == 200
+            assert status(await idle.exchange(request(target="/up", method="GET"))) == 200
+            active.writer.write(request())
+            reading.writer.write(HALF_REQUEST)
+            table = rig.listener.table
+            await until(lambda: server.seen and table._reading)
+            assert table.slot_counts() == SlotCounts(
+                connecting=0, new=1, idle=1, reading=1, active=1, lingering=0
+            )
+            table.max_connections = 4
+            waiting = await rig.client()
+            await until(lambda: rig.node.telemetry.counters[Event.CLIENT_TABLE_FULL])
+            for client in (active, new, reading, idle, waiting):
+                client.writer.close()
+
+    run(test())
