--- a/tests/node/test_json_stream.py
+++ b/tests/node/test_json_stream.py
@@ -10,6 +10,8 @@
 from rig import run
 
 from moleport.node import discovery_watch as discovery
+from moleport.node.hold_detector import HoldDetector
+from moleport.telemetry import Telemetry
 
 NAMES = st.text(alphabet='{}[]"\\ab\n,:é', max_size=8)
 OBJECTS = st.dictionaries(NAMES, NAMES | st.lists(st.dictionaries(NAMES, NAMES), max_size=2))
@@ -24,6 +26,7 @@
 
     class Owner:
         response_timeout_s = 60.0
+        hold_detector: HoldDetector
         seen: list[Any]
 
         def on_json_object(self, _: discovery.WatchConnection, data: bytes) -> None:
@@ -35,6 +38,7 @@
     async def test() -> None:
         owner = Owner()
         owner.seen = []
+        owner.hold_detector = HoldDetector(Telemetry(trace=False))
         watch = discovery.WatchConnection(owner)  # type: ignore[arg-type]
         data = b"\n".join(json.dumps(item, indent=indent, ensure_ascii=False).encode() for item in objects)
         for begin in range(0, len(data), piece_bytes):
