--- a/review/standins2/peers.py
+++ b/review/standins2/peers.py
@@ -40,7 +40,9 @@
     opened_s = time.monotonic() - began
     done, _ = await asyncio.wait(tasks, timeout=LIMIT_S)
     longest_s = max((task.result() for task in done), default=0.0)
-    print(f"{count} peers in {opened_s:.2f} s, {len(done)} ended, the last after {longest_s:.2f} s", flush=True)
+    print(
+        f"{count} peers in {opened_s:.2f} s, {len(done)} ended, the last after {longest_s:.2f} s", flush=True
+    )
 
 
 if __name__ == "__main__":
--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -305,6 +305,22 @@
         self._folder.cleanup()
 
 
+class LoopLag:
+    """Measures how late the event loop of the script runs, as an excuse for late observations."""
+
+    PERIOD_S = 0.005
+
+    def __init__(self) -> None:
+        self.longest_s = 0.0
+
+    async def measure(self) -> None:
+        """Measure until the task is cancelled."""
+        while True:
+            due_at = time.monotonic() + self.PERIOD_S
+            await asyncio.sleep(self.PERIOD_S)
+            self.longest_s = max(self.longest_s, time.monotonic() - due_at)
+
+
 def request_bytes(kind: str, request_id: str, deadline_ms: int, key: str = "", body: bytes = b"") -> bytes:
     """Return a request in the form of PROTOCOL's page; `kind` is `price` or `accept`."""
     method = "GET" if kind == "price" else "POST"
