--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,7 +6,6 @@
 import random
 import sys
 import time
-from contextlib import suppress
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -40,6 +39,7 @@
         self.served = 0
         self.other = 0
         self.closed = 0
+        self.nothing = 0
         self.not_connected = 0
         self.slowest_s = 0.0
         self.overdue: list[tuple[float, str]] = []  # time past the request's time in s, and a description
@@ -59,20 +59,23 @@
     sent_at = time.monotonic()
     writer.write(world.request_bytes("price", request_id, int(deadline_s * 1000)))
     record.write(f"client sends price {request_id} with {deadline_s:.3f} s")
-    status = "nothing"
-    with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-        status = "a close"
+    try:
         async with asyncio.timeout(deadline_s + GRACE_S + 2.0):
             status = (await world.read_message(reader)).first.split()[1]
+    except TimeoutError:
+        status = "nothing"
+    except (OSError, asyncio.IncompleteReadError):
+        status = "a close"
     elapsed_s = time.monotonic() - sent_at
     writer.close()
     record.write(f"client gets {status} for {request_id} after {elapsed_s:.3f} s")
     tally.slowest_s = max(tally.slowest_s, elapsed_s)
     tally.served += status == "200"
     tally.closed += status == "a close"
-    tally.other += status not in ("200", "a close")
+    tally.nothing += status == "nothing"
+    tally.other += status not in ("200", "a close", "nothing")
     # A connection that the node shuts unread is no answer, but the pages allow it while a crowd is there.
-    if elapsed_s > deadline_s + GRACE_S:
+    if status != "a close" and elapsed_s > deadline_s + GRACE_S:
         tally.overdue.append(
             (elapsed_s - deadline_s - GRACE_S, f"{request_id}: {status} after {elapsed_s:.3f} s")
         )
@@ -136,7 +139,8 @@
         record.write(f"BROKEN: {text}")
     record.say(
         f"{tally.sent} requests taken: {tally.served} served, {tally.other} refused or failed, "
-        f"{tally.closed} closed; {tally.not_connected} not connected; slowest {tally.slowest_s:.3f} s; "
+        f"{tally.closed} closed, {tally.nothing} without an answer; {tally.not_connected} not connected; "
+        f"slowest {tally.slowest_s:.3f} s; "
         f"script's own lag {lag.longest_s:.3f} s; {len(lost)} answered too late or never"
     )
     return not lost
