Read the body of a request that offers another protocol

Callers saw: an `accept` with `Upgrade: h2c` (or websocket, or any other) was executed without its body and answered with 200; a 400 that answered nothing followed, and was taken for the answer to the next request.

Cause: httptools skips the body of a request with an upgrade. It reports the end of the message with the end of the head, and then raises HttpParserUpgrade. RequestParser took the first for a complete request and the second for invalid data behind it.

Excluded: responses. A 200 that offers an upgrade is parsed whole; a 101 is an invalid response.

Change: the offer is ignored (RFC 9110, section 7.8). A new HTTP parser gets a head with the same framing and without the offer, and goes on behind the request's own head, so that limits, Expect and requests behind it are handled as for any request.

--- a/moleport/node/parsed_request.py
+++ b/moleport/node/parsed_request.py
@@ -49,3 +49,12 @@
             b"".join(self.forwarded_headers),
             length,
         )
+
+    def head_for_framing(self) -> bytes:
+        """Return a request head that frames the same body and keeps or closes the connection alike."""
+        connection = b"keep-alive" if self.keep_alive else b"close"
+        if b"transfer-encoding" in self.header_values:
+            framing = b"Transfer-Encoding: chunked"
+        else:
+            framing = b"Content-Length: " + self.header_values.get(b"content-length", b"0")
+        return b"POST / HTTP/1.1\r\nConnection: %s\r\n%s\r\n\r\n" % (connection, framing)
--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -54,6 +54,8 @@
         self._arrived_at_ns = 0  # lower bound (monotonic ns) of the arrival time of client data to be parsed
         self._partial: ParsedRequest | None = None
         self._in_body = False
+        # Request with a complete head that offers another protocol, until a new HTTP parser reads its body.
+        self._upgrade_offer: ParsedRequest | None = None
 
     def close(self) -> None:
         """Discard all data, and break the reference cycle with the httptools parser."""
@@ -85,12 +87,17 @@
         assert self._parser is not None
         try:
             self._parser.feed_data(data_slice)
+        except httptools.HttpParserUpgrade as upgrade:
+            (end_of_head,) = upgrade.args
+            self._buffer = data_slice[end_of_head:] + self._buffer
+            self._ignore_upgrade()
+            return
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             self.error_status = (
                 cause.status if isinstance(cause, InvalidRequestError) else HTTPStatus.BAD_REQUEST
             )
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserError:
             self.error_status = HTTPStatus.BAD_REQUEST
         partial = self._partial
         if partial is not None and not self.error_status:
@@ -98,6 +105,16 @@
         if self.error_status:
             self._buffer, self._partial = b"", None
 
+    def _ignore_upgrade(self) -> None:
+        """Go on in HTTP/1.1 behind the head of a request that offers another protocol.
+
+        A server may ignore such an offer (RFC 9110, section 7.8), but an HTTP parser of httptools ends with
+        the head. A new one therefore gets a head with the same framing and without the offer.
+        """
+        assert self._upgrade_offer is not None
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(self._upgrade_offer.head_for_framing())
+
     def _check_size(self, partial: ParsedRequest, added_bytes: int) -> None:
         """Limit the size of a partial request; httptools reports a header line only once it is complete."""
         partial.size_bytes += added_bytes
@@ -162,6 +179,11 @@
 
     def on_headers_complete(self) -> None:
         """Validate the head; raise InvalidRequestError if the request is to be rejected."""
+        if self._upgrade_offer is not None:
+            # The head that has just been parsed is that of `_ignore_upgrade`; the request's own is validated.
+            self._partial, self._upgrade_offer = self._upgrade_offer, None
+            self._in_body = True
+            return
         partial = self._partial
         assert partial is not None and self._parser is not None
         partial.method = self._parser.get_method()
@@ -182,9 +204,12 @@
             )
 
     def on_message_complete(self) -> None:
-        """Add the complete request to `ready`."""
+        """Add the complete request to `ready`, unless the HTTP parser ends here because of an upgrade."""
         partial, self._partial = self._partial, None
         assert partial is not None and self._parser is not None
         partial.keep_alive = self._parser.should_keep_alive()
+        if self._parser.should_upgrade():
+            self._upgrade_offer = partial
+            return
         partial.arrived_at_ns = self._arrived_at_ns
         self.ready.append(partial)
