Move the kernel's view of a client connection to a module of its own

DisconnectDetector asks the kernel for a client's end of stream and polls it while reading is paused, as before; behaviour is unchanged. The detector is released with the connection, so no reference cycle is left.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -5,9 +5,8 @@
 - `connection_lost`: the event loop reports that the connection is closed or reset.
 - `eof_received`: the event loop reports that the client has shut down its sending side.
 - `has_disconnected`: `AttemptSupervisor.authorize_write` asks the kernel before it opens a
-  connection to a server and before it writes a request. Only the kernel knows of an end of stream that is
-  behind unread data, or that a delayed event loop has not read yet.
-- `_check_while_paused`: the connection polls the kernel every `PAUSED_CHECK_SECONDS` while reading is paused.
+  connection to a server and before it writes a request.
+- `DisconnectDetector` polls the kernel while reading is paused.
 
 The disconnection is reported to `RequestRegistry` by `on_client_disconnected` (the client gets no response)
 or by `on_client_half_closed` (the client may still read a response).
@@ -16,14 +15,14 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from http import HTTPStatus
 from time import monotonic_ns
 from typing import cast
 
 from moleport.node.client_context import ClientContext
+from moleport.node.disconnect_detector import DisconnectDetector
 from moleport.node.hold_detector import MIN_HOLD_NS
-from moleport.node.kernel_socket import is_readable, is_reset, last_data_age_ns
+from moleport.node.kernel_socket import last_data_age_ns
 from moleport.node.name_hashing import hash_key
 from moleport.node.parsed_request import READINESS_PATH, ParsedRequest
 from moleport.node.request import ClientRequest
@@ -32,7 +31,6 @@
 from moleport.telemetry import Event
 from moleport.units import NS_PER_SECOND
 
-PAUSED_CHECK_SECONDS = 0.05
 MAX_WRITE_SECONDS = 10.0  # time limit for a client to read a response to a request without a deadline
 # Limit in bytes on the client data that is read and discarded after a connection's last response.
 MAX_LINGERING_BYTES = 128 << 10
@@ -52,9 +50,9 @@
         self._table = context.table
         # Lower bound (monotonic ns) of the arrival time of client data unread in the kernel; 0: no bound.
         self._earliest_unread_arrival_ns = earliest_arrival_ns
-        self._peer_shutdown_poll = select.poll()
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._disconnect_detector: DisconnectDetector | None = None  # set with the transport
         self._parser = RequestParser(context.config)
         # Request number (an id from `RequestRegistry`) of the client's request in progress; 0: no request.
         self._request_number = 0
@@ -63,7 +61,6 @@
         self._keep_alive = True
         # Whether the last response was sent or the connection is lost: no more data of the client is parsed.
         self._is_closing = False
-        self._is_half_closed = False  # whether the client has shut down its sending side
         self._discarded_bytes = 0
         # Deadline (monotonic ns) of the client's latest processed request; 0: none, as for a readiness check.
         self._deadline_ns = 0
@@ -72,7 +69,6 @@
         # Whether `_advance`, which processes the client's requests, is running; a nested call then returns.
         self._is_advancing = False
         self._is_paused = False
-        self._paused_check_timer: asyncio.TimerHandle | None = None
 
     # Callbacks by which the event loop reports data, writes and disconnections of the client.
 
@@ -83,8 +79,9 @@
         self._transport = transport = cast(asyncio.Transport, transport)
         # With a limit of 0 for a client's write buffer, `resume_writing` is called once the buffer is empty.
         transport.set_write_buffer_limits(high=0)
+        detector = self._disconnect_detector = DisconnectDetector(transport)
         now = monotonic_ns()
-        if now - self._earliest_unread_arrival_ns < MIN_HOLD_NS or not self._is_readable():
+        if now - self._earliest_unread_arrival_ns < MIN_HOLD_NS or not detector.is_readable():
             self._earliest_unread_arrival_ns = 0
         else:
             # The lower bound of the arrival time of this client's data is raised if possible, because the
@@ -92,13 +89,13 @@
             data_age_ns = last_data_age_ns(transport.get_extra_info("socket"))
             if data_age_ns is not None:
                 self._earliest_unread_arrival_ns = max(self._earliest_unread_arrival_ns, now - data_age_ns)
-        self._peer_shutdown_poll.register(self._descriptor(), select.POLLRDHUP)
         self._table.on_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the client's disconnection: its connection is closed or reset."""
         self._is_closing = True
         self._parser.close()
+        self._detector().close()
         if self._write_timer is not None:
             self._write_timer.cancel()
         request_number, self._request_number = self._request_number, 0
@@ -134,7 +131,7 @@
         A half-closed client may still wait for the response to a complete request. As most clients that look
         half-closed have closed the connection, a request that is not forwarded yet will not be forwarded.
         """
-        self._is_half_closed = True
+        self._detector().is_half_closed = True
         self._report_half_close()
         has_pending_request = self._is_busy or bool(self._parser.ready) or self._parser.has_unparsed()
         return has_pending_request and not self._is_closing
@@ -150,35 +147,15 @@
 
     def has_disconnected(self) -> bool:
         """Return whether the client has half-closed or closed the connection, as the kernel reports it."""
-        transport = self._transport
-        if not self._is_half_closed and transport is not None and not transport.is_closing():
-            self._is_half_closed = bool(self._peer_shutdown_poll.poll(0))
-            return self._is_half_closed
-        return True
-
-    def _check_while_paused(self) -> None:
-        """Check periodically whether the client has disconnected, until reading is resumed."""
-        self._paused_check_timer = None
-        if self._transport is None or not self._is_paused or self._transport.is_closing():
-            return
-        if is_reset(self._descriptor()):
-            self.abort()
-            return
-        if self.has_disconnected():
-            self._report_half_close()
-        self._paused_check_timer = self._loop.call_later(PAUSED_CHECK_SECONDS, self._check_while_paused)
+        return self._detector().has_disconnected()
 
     def _report_half_close(self) -> None:
         if self._request_number:
             self._context.dispatcher.on_client_half_closed(self._request_number)
 
-    def _descriptor(self) -> int:
-        assert self._transport is not None
-        descriptor: int = self._transport.get_extra_info("socket").fileno()
-        return descriptor
-
-    def _is_readable(self) -> bool:
-        return is_readable(self._descriptor())
+    def _detector(self) -> DisconnectDetector:
+        assert self._disconnect_detector is not None
+        return self._disconnect_detector
 
     # Methods that process the client's requests in order of arrival.
 
@@ -200,7 +177,7 @@
             self._toggle_reading(transport)
         if self._is_busy:
             return
-        if self._is_half_closed:
+        if self._detector().is_half_closed:
             self.close()
         elif parser.has_partial_request():
             self._table.mark_reading(self)
@@ -230,16 +207,17 @@
     def _toggle_reading(self, transport: asyncio.Transport) -> None:
         """Pause reading from the client, or resume reading that is paused."""
         self._is_paused = not self._is_paused
+        detector = self._detector()
         if not self._is_paused:
-            if not self._is_readable():
+            detector.stop_polling()
+            if not detector.is_readable():
                 self._earliest_unread_arrival_ns = 0
             transport.resume_reading()
             return
-        if not self._earliest_unread_arrival_ns or not self._is_readable():
+        if not self._earliest_unread_arrival_ns or not detector.is_readable():
             self._earliest_unread_arrival_ns = monotonic_ns()
         transport.pause_reading()
-        if self._paused_check_timer is None:
-            self._check_while_paused()
+        detector.start_polling(self._report_half_close)
 
     def _serve(self, parsed: ParsedRequest) -> None:
         """Answer a readiness check, or pass the request to the dispatcher."""
@@ -250,7 +228,7 @@
             is_ready = dispatcher.has_endpoints() and not self._context.is_stopping
             self.send_response(200 if is_ready else 503, [], b"")
             return
-        if self._is_half_closed:
+        if self._detector().is_half_closed:
             self.send_response(503, dispatcher.retry_after_headers(), b"")
             return
         request = self._client_request(parsed)
@@ -318,7 +296,7 @@
         self._is_busy = False
         if not self._is_closing:
             self._advance()
-        elif self._is_half_closed or transport.is_closing():
+        elif self._detector().is_half_closed or transport.is_closing():
             transport.close()
         else:
             self._start_lingering_close(transport)
@@ -355,7 +333,7 @@
         transport = self._transport
         if transport is None or not self._parser.has_partial_request():
             return self.close_if_nothing_unread()
-        if self._is_readable():
+        if self._detector().is_readable():
             return False
         self._reject_partial_request()
         transport.close()
@@ -377,7 +355,7 @@
         Return whether the connection is closed.
         """
         if self._transport is not None and not self._transport.is_closing():
-            if self._is_readable():
+            if self._detector().is_readable():
                 return False
             self._transport.close()
         return True
