Keep the requests of all clients within a share of the memory limit

Cause: limits held for each client alone. A read brought up to 256 KB, which stayed until it was parsed; slices of 4 KB were parsed into some 35 requests ahead of the one in progress; and nothing bounded the sum of partial bodies, as limits.memory_mb was not read.

Change: ClientMemory counts what is incomplete, not parsed or unanswered; all of it may use an eighth of the limit. Above that, partial requests get 408, the earliest first, and where requests in progress alone use it, new ones get 503 with Retry-After. Reads go into one shared buffer (BufferedProtocol), 16 KB at most and 1 KB while memory is short. Data keeps its arrival time, so that smaller reads change no deadline.

--- a/moleport/config/node_config.py
+++ b/moleport/config/node_config.py
@@ -8,6 +8,7 @@
 | `discovery` | `discovery_address`; the variable `BALANCER_DISCOVERY` overrides it at the process's start |
 | `seed` | `seed`, as a number or as hexadecimal text |
 | `limits.sockets` | `max_descriptors` |
+| `limits.memory_mb` | `max_memory_bytes`; optional |
 | `known` | `cached_endpoints`, in the form of `moleport.config.endpoints` |
 | `settings` | all other fields; their keys and values are in `moleport.config.protocol_keys` |
 """
@@ -39,6 +40,10 @@
 MAX_DESCRIPTOR_COUNT = 1 << 30
 """Highest accepted number of file descriptors; Linux's own limit, fs.nr_open, is 1 << 20 by default."""
 
+MAX_MEMORY_MB = 1 << 30
+"""Highest accepted memory limit in MB; no machine has so much memory."""
+BYTES_PER_MB = 1 << 20
+
 
 class ConfigError(Exception):
     """Raised for an invalid configuration; the message names the invalid key or environment variable."""
@@ -59,6 +64,8 @@
     """Seed of the random numbers of the decision module and of the reconnect backoff."""
     max_descriptors: int
     """Number of file descriptors that the process may have open."""
+    max_memory_bytes: int | None
+    """Memory that the process may use; None: the configuration file states no limit."""
     cached_endpoints: DiscoveryUpdate
     """The last endpoint list that the platform had when it wrote the configuration file; it may be stale."""
     policy_settings: api.Settings
@@ -131,6 +138,7 @@
         discovery_address=_read_address(environment, DISCOVERY_VARIABLE, document, "discovery"),
         seed=_read_seed(document),
         max_descriptors=_read_max_descriptors(document),
+        max_memory_bytes=_read_max_memory_bytes(document),
         cached_endpoints=_read_cached_endpoints(document),
         class_indices=_read_encoded_indices(tree, SettingKey.CLASSES),
         max_deadlines_ns=reader.entries(SettingKey.CLASSES, _read_max_deadline_ns),
@@ -185,6 +193,18 @@
     )
 
 
+def _read_max_memory_bytes(document: dict[str, Any]) -> int | None:
+    memory_mb = _read_object(document, "limits").get("memory_mb")
+    if memory_mb is None:
+        return None
+    if isinstance(memory_mb, int | float) and 0 < memory_mb <= MAX_MEMORY_MB:
+        return int(memory_mb * BYTES_PER_MB)
+    raise ConfigError(
+        "configuration key limits.memory_mb is not a positive number up to "
+        f"{MAX_MEMORY_MB}: {format_for_error(memory_mb)}"
+    )
+
+
 def _read_cached_endpoints(document: dict[str, Any]) -> DiscoveryUpdate:
     try:
         return parse_update(document.get("known"))
--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -38,7 +38,7 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection; its requests are processed one at a time."""
 
     def __init__(self, context: ClientContext, earliest_arrival_ns: int) -> None:
@@ -48,6 +48,7 @@
         """
         self._context = context
         self._table = context.table
+        self._memory = context.table.memory
         # Lower bound (monotonic ns) of the arrival time of client data unread in the kernel; 0: no bound.
         self._earliest_unread_arrival_ns = earliest_arrival_ns
         self._loop = asyncio.get_running_loop()
@@ -56,6 +57,8 @@
         self._parser = RequestParser(context.config)
         # Request number (an id from `RequestRegistry`) of the client's request in progress; 0: no request.
         self._request_number = 0
+        self._used_bytes = 0  # memory of this connection's requests, as counted in `ClientMemory`
+        self._request_bytes = 0  # memory of the request in progress
         # Whether a request of the client is unanswered, or its response is not fully written.
         self._is_busy = False
         self._keep_alive = True
@@ -96,6 +99,8 @@
         self._is_closing = True
         self._parser.close()
         self._detector().close()
+        self._request_bytes = 0
+        self._count_memory()
         if self._write_timer is not None:
             self._write_timer.cancel()
         request_number, self._request_number = self._request_number, 0
@@ -103,25 +108,30 @@
             self._context.dispatcher.on_client_disconnected(request_number)
         self._table.on_disconnected(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse the client's data and process its next request."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that the event loop reads the client's data into; all connections share it."""
+        return self._memory.read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse the client's data, `nbytes` of the shared buffer, and process its next request."""
         if self._is_closing:
-            self._discard(data)
+            self._discard(nbytes)
             return
         earliest_arrival_ns = self._context.dispatcher.hold_detector.earliest_arrival_ns()
         self._parser.feed(
-            data,
+            self._memory.copy_read(nbytes),
             min(earliest_arrival_ns, self._earliest_unread_arrival_ns)
             if self._earliest_unread_arrival_ns
             else earliest_arrival_ns,
         )
+        has_unread = self._memory.is_filled_by(nbytes) and self._detector().is_readable()
         self._advance()
-        if not self._is_paused:
+        if not self._is_paused and not has_unread:
             self._earliest_unread_arrival_ns = 0
 
-    def _discard(self, data: bytes) -> None:
+    def _discard(self, nbytes: int) -> None:
         """Discard data that follows the last response; abort after `MAX_LINGERING_BYTES`."""
-        self._discarded_bytes += len(data)
+        self._discarded_bytes += nbytes
         if self._discarded_bytes > MAX_LINGERING_BYTES:
             self.abort()
 
@@ -168,6 +178,7 @@
         self._is_advancing = True
         self._serve_ready(transport)
         self._is_advancing = False
+        self._count_memory()
         if self._is_closing or transport.is_closing():
             return
         parser = self._parser
@@ -186,11 +197,20 @@
         else:
             self._table.mark_idle(self)
 
+    def _count_memory(self) -> None:
+        """Count the change of the memory that this connection's requests use; free memory if it is short."""
+        used_bytes = self._parser.memory_bytes() + self._request_bytes
+        if used_bytes != self._used_bytes:
+            self._memory.used_bytes += used_bytes - self._used_bytes
+            self._used_bytes = used_bytes
+            if self._memory.is_short():
+                self._table.free_memory()
+
     def _serve_ready(self, transport: asyncio.Transport) -> None:
         """Process parsed requests until one waits for its response or none is left."""
         parser = self._parser
         while not self._is_busy and not self._is_closing and not transport.is_closing():
-            parser.parse_buffered()
+            parser.parse_until_ready()
             if parser.ready:
                 self._is_busy = True
                 self._table.mark_active(self)
@@ -222,6 +242,7 @@
     def _serve(self, parsed: ParsedRequest) -> None:
         """Answer a readiness check, or pass the request to the dispatcher."""
         self._keep_alive = parsed.keep_alive
+        self._request_bytes = parsed.memory_bytes()
         self._deadline_ns = 0
         dispatcher = self._context.dispatcher
         if parsed.path == READINESS_PATH:
@@ -231,6 +252,10 @@
         if self._detector().is_half_closed:
             self.send_response(503, dispatcher.retry_after_headers(), b"")
             return
+        if self._memory.is_short():
+            dispatcher.telemetry.count(Event.REQUEST_REJECTED_BY_MEMORY)
+            self.send_response(503, dispatcher.retry_after_headers(), b"")
+            return
         request = self._client_request(parsed)
         self._deadline_ns = request.deadline_ns
         request_number = dispatcher.accept_request(request)
@@ -294,6 +319,7 @@
         transport = self._transport
         assert transport is not None
         self._is_busy = False
+        self._request_bytes = 0
         if not self._is_closing:
             self._advance()
         elif self._detector().is_half_closed or transport.is_closing():
@@ -315,15 +341,18 @@
 
     def time_out(self) -> None:
         """Close a connection that has exceeded a time limit; answer 408 to a partial request."""
-        if self._parser.has_partial_request():
-            self._reject_partial_request()
+        if self.reject_partial_request():
+            self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
         elif self.close_if_nothing_unread():
             self._context.dispatcher.telemetry.count(Event.CLIENT_CLOSED_IDLE)
 
-    def _reject_partial_request(self) -> None:
-        self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
-        self._parser.error_status = HTTPStatus.REQUEST_TIMEOUT
+    def reject_partial_request(self) -> bool:
+        """Answer 408 to a partial request and discard it; return whether there was one."""
+        if not self._parser.has_partial_request():
+            return False
+        self._parser.reject(HTTPStatus.REQUEST_TIMEOUT)
         self._advance()
+        return True
 
     def reclaim(self) -> bool:
         """Close the connection to free its slot, unless it has unread data; return whether it is closed.
@@ -335,7 +364,8 @@
             return self.close_if_nothing_unread()
         if self._detector().is_readable():
             return False
-        self._reject_partial_request()
+        self.reject_partial_request()
+        self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
         transport.close()
         return True
 
--- a/moleport/node/connection_table.py
+++ b/moleport/node/connection_table.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import math
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from moleport.node.client_memory import ClientMemory
 from moleport.node.hold_detector import HoldDetector
 from moleport.telemetry import Event, Telemetry
 
@@ -57,6 +59,10 @@
         """Close the connection unless it has unread data or a request, complete or partial."""
         ...
 
+    def reject_partial_request(self) -> bool:
+        """Answer 408 to a partial request and discard it; return whether there was one."""
+        ...
+
 
 class SlotCounts(NamedTuple):
     """The numbers of used client slots, by the state of their connections; see `ConnectionTable`."""
@@ -85,12 +91,14 @@
     def __init__(
         self,
         max_connections: int,
+        memory: ClientMemory,
         telemetry: Telemetry,
         hold_detector: HoldDetector,
         on_slot_freed: Callable[[], None],
     ) -> None:
         """Create an empty table; `on_slot_freed` is called when a connection ends and leaves a free slot."""
         self.max_connections = max_connections
+        self.memory = memory
         self.open_count = 0  # client slots in use, including those of connections that are still being set up
         self.connections: set[TrackedConnection] = set()
         self._telemetry = telemetry
@@ -101,6 +109,7 @@
         self._idle: EntryTimes = {}
         self._reading: EntryTimes = {}
         self._lingering: EntryTimes = {}
+        self._is_freeing_memory = False
 
     def has_free_slot(self) -> bool:
         """Return whether a further connection may be accepted."""
@@ -216,6 +225,21 @@
                 return True
         return False
 
+    def free_memory(self) -> None:
+        """Reject partial requests, the earliest first, while requests use more than their share of memory.
+
+        A partial request that has been received for longest is the least likely to be completed.
+        """
+        if self._is_freeing_memory:
+            return
+        self._is_freeing_memory = True
+        for connection, _ in list(heapq.merge(self._new.items(), self._reading.items(), key=_entry_time)):
+            if not self.memory.needs_relief():
+                break
+            if connection.reject_partial_request():
+                self._telemetry.count(Event.CLIENT_MEMORY_FULL)
+        self._is_freeing_memory = False
+
     def _reclaim_idle(self) -> None:
         """Close the oldest idle connections above `MAX_IDLE_RATIO`, to leave slots to other clients."""
         latest_entry = self._loop.time() - MIN_IDLE_SECONDS
@@ -257,6 +281,10 @@
             connection.close_if_unused()
 
 
+def _entry_time(entry: tuple[TrackedConnection, float]) -> float:
+    return entry[1]
+
+
 def _earliest_entry(entry_times: EntryTimes) -> float:
     """Return the loop time, in s, at which the oldest connection entered the state; infinite if none has."""
     return next(iter(entry_times.values()), math.inf)
--- a/moleport/node/listener.py
+++ b/moleport/node/listener.py
@@ -11,6 +11,7 @@
 from moleport.config.node_config import Config
 from moleport.node.client_connection import ClientConnection
 from moleport.node.client_context import ClientContext
+from moleport.node.client_memory import ClientMemory
 from moleport.node.connection_table import ConnectionTable
 from moleport.node.dispatcher import Dispatcher
 from moleport.node.error_codes import Fault, classify_error
@@ -40,7 +41,11 @@
     def __init__(self, dispatcher: Dispatcher, config: Config, max_connections: int) -> None:
         """Create a listener with its connection table; nothing is accepted before `listen`."""
         self.table = ConnectionTable(
-            max_connections, dispatcher.telemetry, dispatcher.hold_detector, self._resume_accepting
+            max_connections,
+            ClientMemory(config.max_memory_bytes),
+            dispatcher.telemetry,
+            dispatcher.hold_detector,
+            self._resume_accepting,
         )
         self.context = ClientContext(dispatcher, config, self.table)
         self._telemetry = dispatcher.telemetry
--- a/moleport/node/parsed_request.py
+++ b/moleport/node/parsed_request.py
@@ -4,6 +4,9 @@
 
 READINESS_PATH = b"/up"
 API_PATH = b"/api"
+REQUEST_OVERHEAD_BYTES = 1024  # memory of a request without its headers and body
+HEADER_OVERHEAD_BYTES = 200  # memory of a header beyond its bytes: objects and entries for name and value
+HEADER_COPY_COUNT = 2  # each header is held as name and value, and as the line that is forwarded
 
 
 class ParsedRequest:
@@ -40,6 +43,15 @@
         self.timeout_ns = 0
         self.arrived_at_ns = 0  # lower bound (monotonic ns) of the arrival of the request's last byte
 
+    def memory_bytes(self) -> int:
+        """Return the approximate memory of the request in bytes."""
+        return (
+            REQUEST_OVERHEAD_BYTES
+            + HEADER_COPY_COUNT * self.header_bytes
+            + HEADER_OVERHEAD_BYTES * len(self.header_values)
+            + len(self.body)
+        )
+
     def forwarded_head(self) -> bytes:
         """Return the request line and headers for a server, without X-Deadline and the blank line."""
         length = b"Content-Length: %d\r\n" % len(self.body) if self.method != b"GET" else b""
--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -14,13 +14,14 @@
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
 )
-from moleport.node.parsed_request import ParsedRequest
+from moleport.node.parsed_request import REQUEST_OVERHEAD_BYTES, ParsedRequest
+from moleport.node.receive_buffer import ReceiveBuffer
 from moleport.node.request_validation import InvalidRequestError, validate_framing, validate_request
 
 MAX_HEADERS_COUNT = 100
 MAX_FRAMED_BODY_BYTES = 8 * MAX_BODY_BYTES  # size limit of a request body including its chunk framing
 # Number of bytes of client data parsed at a time: with small slices few pipelined requests are parsed ahead.
-PARSE_SLICE_BYTES = 4096
+PARSE_SLICE_BYTES = 1024
 
 NOT_FORWARDED = HOP_BY_HOP_HEADERS | {b"x-deadline", b"expect"}
 UNREPEATABLE_HEADERS = frozenset(
@@ -50,8 +51,8 @@
         self.error_status = 0
         self._config = config
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
-        self._buffer = b""
-        self._arrived_at_ns = 0  # lower bound (monotonic ns) of the arrival time of client data to be parsed
+        self._unparsed = ReceiveBuffer()
+        self._arrived_at_ns = 0  # lower bound (monotonic ns) of the arrival time of the data parsed last
         self._partial: ParsedRequest | None = None
         self._in_body = False
         # Request with a complete head that offers another protocol, until a new HTTP parser reads its body.
@@ -60,27 +61,24 @@
     def close(self) -> None:
         """Discard all data, and break the reference cycle with the httptools parser."""
         self._parser = None
-        self._buffer = b""
+        self._partial = None
+        self._unparsed.clear()
         self.ready.clear()
 
     def feed(self, data: bytes, arrived_at_ns: int) -> None:
-        """Parse data of which no byte arrived before `arrived_at_ns` (monotonic ns).
+        """Add data of which no byte arrived before `arrived_at_ns` (monotonic ns); it is not parsed yet.
 
-        A request's arrival time is that of its last byte. Data received behind unparsed data gets the arrival
-        time of the unparsed data: a later arrival time would extend the client's deadline.
+        A request's arrival time is that of its last byte.
         """
-        if not self._buffer:
-            self._arrived_at_ns = arrived_at_ns
-        self._buffer = self._buffer + data if self._buffer else data
-        self.parse_buffered()
+        self._unparsed.append(data, arrived_at_ns)
 
-    def parse_buffered(self) -> None:
-        """Parse buffered data until a request is complete or invalid.
+    def parse_until_ready(self) -> None:
+        """Parse received data until a request is complete or invalid.
 
         Parsing all pipelined requests of a client at once would delay other clients and fill the memory.
         """
-        while self._parser is not None and self._buffer and not self.ready and not self.error_status:
-            data_slice, self._buffer = self._buffer[:PARSE_SLICE_BYTES], self._buffer[PARSE_SLICE_BYTES:]
+        while self._parser is not None and self._unparsed and not self.ready and not self.error_status:
+            data_slice, self._arrived_at_ns = self._unparsed.take(PARSE_SLICE_BYTES)
             self._parse(data_slice)
 
     def _parse(self, data_slice: bytes) -> None:
@@ -89,7 +87,8 @@
             self._parser.feed_data(data_slice)
         except httptools.HttpParserUpgrade as upgrade:
             (end_of_head,) = upgrade.args
-            self._buffer = data_slice[end_of_head:] + self._buffer
+            if end_of_head < len(data_slice):
+                self._unparsed.put_back(data_slice[end_of_head:], self._arrived_at_ns)
             self._ignore_upgrade()
             return
         except httptools.HttpParserCallbackError as error:
@@ -103,7 +102,8 @@
         if partial is not None and not self.error_status:
             self._check_size(partial, len(data_slice))
         if self.error_status:
-            self._buffer, self._partial = b"", None
+            self._unparsed.clear()
+            self._partial = None
 
     def _ignore_upgrade(self) -> None:
         """Go on in HTTP/1.1 behind the head of a request that offers another protocol.
@@ -125,11 +125,26 @@
 
     def has_partial_request(self) -> bool:
         """Return whether bytes of an incomplete or unparsed request have been received."""
-        return self._partial is not None or bool(self._buffer)
+        return self._partial is not None or bool(self._unparsed)
+
+    def memory_bytes(self) -> int:
+        """Return the approximate memory, in bytes, of data and requests that are not taken from `ready`."""
+        partial = self._partial
+        return (
+            self._unparsed.size_bytes
+            + REQUEST_OVERHEAD_BYTES * len(self.ready)
+            + (partial.memory_bytes() if partial is not None else 0)
+        )
+
+    def reject(self, status: HTTPStatus) -> None:
+        """End parsing with an error response of this status, and discard what is not parsed completely."""
+        self.error_status = status
+        self._unparsed.clear()
+        self._partial = None
 
     def has_unparsed(self) -> bool:
         """Return whether received data is not parsed yet."""
-        return bool(self._buffer)
+        return bool(self._unparsed)
 
     def wants_continue(self) -> bool:
         """Return whether the client waits for a 100 (Continue) to send the body; True once per request."""
--- /dev/null
+++ b/tests/node/test_client_memory.py
@@ -0,0 +1,139 @@
+"""Tests of the memory that requests of clients use: many clients together stay within the process's limit."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+from time import monotonic
+
+import pytest
+from node_process import Program, program
+from rig import Rig, Server, configuration, never_respond, request, run, status, until
+
+from moleport.node.client_memory import CLIENT_MEMORY_RATIO, READ_BYTES
+from moleport.telemetry import Event
+
+MEMORY_MB = 64
+CLIENT_COUNT = 1000
+MAX_DESCRIPTORS = 2048
+SEND_SECONDS = 3.0
+
+PARTIAL_BODY = request("order", body=b"x" * 65_536)[:60_000]
+CLIENT_DATA = {
+    "half of a large request": lambda: PARTIAL_BODY,
+    "one-byte chunks": lambda: (
+        PARTIAL_BODY.replace(b"Content-Length: 65536", b"Transfer-Encoding: chunked")[:200]
+        + b"1\r\nx\r\n" * 40_000
+    ),
+    "requests ahead": lambda: b"".join(request() for _ in range(1500)),
+    "short fields": lambda: request()[:-2] + b"".join(b"%x:\r\n" % n for n in range(80)),
+}
+
+
+def peak_memory_mb(node: Program) -> float:
+    """Return the largest resident memory of the node's process so far, in MB."""
+    for line in Path(f"/proc/{node.process.pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise AssertionError("the kernel states no peak memory")
+
+
+async def send_all(connections: list[socket.socket], data: bytes) -> None:
+    """Send the data on each connection as far as the node reads it; return after `SEND_SECONDS`."""
+    end = monotonic() + SEND_SECONDS
+    sent_bytes = dict.fromkeys(connections, 0)
+    while monotonic() < end:
+        for connection, sent in list(sent_bytes.items()):
+            try:
+                sent_bytes[connection] += connection.send(data[sent : sent + 8192])
+            except BlockingIOError:
+                continue
+            except OSError:
+                del sent_bytes[connection]
+                continue
+            if sent_bytes[connection] >= len(data):
+                del sent_bytes[connection]
+        await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("name", CLIENT_DATA)
+def test_the_requests_of_a_thousand_clients_fit_into_the_memory_limit(name: str, tmp_path: Path) -> None:
+    """Guards against a process that is killed because memory was limited for each client alone."""
+
+    async def test() -> None:
+        async with Server("s-1", never_respond) as server:
+            document = configuration(server)
+            document["limits"] |= {"memory_mb": MEMORY_MB, "sockets": MAX_DESCRIPTORS}
+            async with program(document, tmp_path) as node:
+                connections = []
+                for _ in range(CLIENT_COUNT):
+                    connections.append(socket.create_connection(node.address))
+                    connections[-1].setblocking(False)
+                await send_all(connections, CLIENT_DATA[name]())
+                assert peak_memory_mb(node) < MEMORY_MB
+                assert node.process.returncode is None
+                for connection in connections:
+                    connection.close()
+
+    run(test())
+
+
+def test_the_earliest_partial_requests_are_rejected_when_memory_is_short() -> None:
+    """Guards against memory that partial requests keep, and against the loss of requests that are whole."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            memory = rig.listener.table.memory
+            assert memory.max_bytes == CLIENT_MEMORY_RATIO * (192 << 20)
+            memory.max_bytes = 200_000
+            clients = [await rig.client() for _ in range(4)]
+            for index, client in enumerate(clients):
+                client.writer.write(PARTIAL_BODY)
+                await until(lambda end=55_000 * (index + 1): memory.used_bytes > min(end, 150_000))
+                await asyncio.sleep(0.01)
+            assert status(await clients[0].read()) == 408
+            assert rig.node.telemetry.counters[Event.CLIENT_MEMORY_FULL] >= 1
+            assert memory.used_bytes <= 200_000
+            last = await clients[-1].exchange(b"x" * (len(request("order", body=b"x" * 65_536)) - 60_000))
+            assert status(last) == 200
+            for client in clients:
+                client.writer.close()
+            await until(lambda: not rig.listener.table.connections)
+            assert memory.used_bytes == 0
+
+    run(test())
+
+
+def test_a_request_is_rejected_while_others_in_progress_use_the_memory() -> None:
+    """Guards against a process that accepts more requests than fit into its memory."""
+
+    async def test() -> None:
+        async with Server("s-1", never_respond) as server, Rig(configuration(server)) as rig:
+            rig.listener.table.memory.max_bytes = 1000
+            clients = [await rig.client() for _ in range(2)]
+            clients[0].writer.write(request())
+            await until(lambda: server.seen)
+            rejection = await clients[1].exchange(request())
+            assert (status(rejection), rejection.headers["retry-after"]) == (503, "1.500")
+            clients[0].writer.close()
+            await until(lambda: rig.listener.table.memory.used_bytes == 0)
+
+    run(test())
+
+
+def test_a_large_read_does_not_shorten_the_deadline_of_later_requests() -> None:
+    """Guards against an arrival time that outlives the data that it was taken for."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            data = request("order", body=b"x" * 60_000)
+            for _ in range(3):
+                client.writer.write(data.replace(b"X-Request-Id: ", b"X-Request-Id: a", 1))
+                assert status(await client.read()) == 200
+            (connection,) = rig.listener.table.connections
+            assert connection._earliest_unread_arrival_ns == 0
+            assert len(connection._memory.read_buffer()) == READ_BYTES
+
+    run(test())
--- a/tests/node/test_clocks.py
+++ b/tests/node/test_clocks.py
@@ -11,8 +11,8 @@
 from typing import Any
 
 import pytest
+from node_process import Program, program
 from rig import Discovery, Server, configuration, request, run, status, until
-from test_process import Program, program
 
 from soak.shims import Faults
 
--- a/tests/node/test_holds.py
+++ b/tests/node/test_holds.py
@@ -8,6 +8,7 @@
 from time import sleep
 
 import pytest
+from node_process import program
 from rig import (
     Discovery,
     Message,
@@ -22,7 +23,6 @@
     status,
     until,
 )
-from test_process import program
 
 from moleport.node.hold_detector import HoldDetector
 from moleport.telemetry import Event, Telemetry
--- a/tests/node/test_initial_list_wait.py
+++ b/tests/node/test_initial_list_wait.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+from node_process import program
 from rig import (
     TEST_TIMEOUT_SECONDS,
     Client,
@@ -25,7 +26,6 @@
     run,
 )
 from rig import status as status_of
-from test_process import program
 
 from moleport.node import discovery_watch
 from moleport.node.discovery_watch import WatchEnd
--- a/tests/node/test_own_faults.py
+++ b/tests/node/test_own_faults.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 
 import pytest
+from node_process import Program, program
 from rig import Client, Server, answer, configuration, request, respond_with, run, status, until
-from test_process import Program, program
 
 from soak.shims import Faults
 
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -13,14 +13,15 @@
 import subprocess
 import sys
 import tomllib
-from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
-from contextlib import asynccontextmanager, suppress
+from collections.abc import Callable, Iterator
+from contextlib import suppress
 from importlib.util import cache_from_source
 from pathlib import Path
 from time import monotonic
 from typing import Any
 
 import pytest
+from node_process import ROOT, Program, program, start
 from rig import (
     TEST_TIMEOUT_SECONDS,
     Client,
@@ -41,7 +42,6 @@
 from moleport.node.graceful_shutdown import MIN_LAME_DUCK_SECONDS, plan_shutdown
 from moleport.node.node_factory import max_client_connections
 
-ROOT = Path(__file__).parents[2]
 UP = request(target="/up", method="GET")
 
 
@@ -57,56 +57,6 @@
 )
 
 
-async def start(
-    path: Path,
-    code: str = "",
-    env: Mapping[str, str] = os.environ,
-    command: Sequence[str] = (),
-    **options: Any,
-) -> asyncio.subprocess.Process:
-    """Start a node's process with the configuration file at `path`.
-
-    The process runs `command`, or the Python program `code`, or by default the module `moleport`.
-    """
-    environment = {**env, "BALANCER_CONFIG": str(path)}
-    arguments = command or [sys.executable, *(("-c", code) if code else ("-m", "moleport"))]
-    return await asyncio.create_subprocess_exec(
-        *arguments, cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE, **options
-    )
-
-
-class Program:
-    """A node that runs in its own process."""
-
-    def __init__(self, process: asyncio.subprocess.Process, address: tuple[str, int]) -> None:
-        self.process = process
-        self.address = address
-
-    async def client(self) -> Client:
-        """Connect a client to the node."""
-        return Client(*await asyncio.open_connection(*self.address))
-
-
-@asynccontextmanager
-async def program(document: dict[str, Any], folder: Path, **options: Any) -> AsyncIterator[Program]:
-    """Start a node and wait until it listens; kill it at the end."""
-    path = folder / "config.json"
-    path.write_text(json.dumps(document))
-    process = await start(path, **options)
-    try:
-        assert process.stderr is not None
-        while b"serving on" not in (
-            line := await asyncio.wait_for(process.stderr.readline(), TEST_TIMEOUT_SECONDS)
-        ):
-            assert line, "the process ended before it listened"
-        host, port = line.split()[-1].decode().rsplit(":", 1)
-        yield Program(process, (host, int(port)))
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
-
-
 def test_the_build_compiles_all_modules(tmp_path: Path) -> None:
     """A node's disk is read-only, so without bytecode from the build each start would compile all modules."""
     for name in ("deploy", "moleport", "requirements.txt"):
--- a/tests/node/test_readiness.py
+++ b/tests/node/test_readiness.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 import pytest
+from node_process import start
 from rig import TEST_TIMEOUT_SECONDS, Client, Server, configuration, read_message, request, run, status
-from test_process import start
 
 ROOT = Path(__file__).parents[2]
 NODE_COUNT = 30
