Give the arrival time of client data a module, and the request its builder

ArrivalTime keeps the bound on the time at which unread data arrived, with the same rules; client_request in request.py builds a ClientRequest from its parsed form. Behaviour is unchanged.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -19,13 +19,11 @@
 from time import monotonic_ns
 from typing import cast
 
+from moleport.node.arrival_time import ArrivalTime
 from moleport.node.client_context import ClientContext
 from moleport.node.disconnect_detector import DisconnectDetector
-from moleport.node.hold_detector import MIN_HOLD_NS
-from moleport.node.kernel_socket import last_data_age_ns
-from moleport.node.name_hashing import hash_key
 from moleport.node.parsed_request import READINESS_PATH, ParsedRequest
-from moleport.node.request import ClientRequest
+from moleport.node.request import client_request
 from moleport.node.request_parser import RequestParser
 from moleport.node.response_format import format_response
 from moleport.telemetry import Event
@@ -49,8 +47,7 @@
         self._context = context
         self._table = context.table
         self._memory = context.table.memory
-        # Lower bound (monotonic ns) of the arrival time of client data unread in the kernel; 0: no bound.
-        self._earliest_unread_arrival_ns = earliest_arrival_ns
+        self._arrival_time = ArrivalTime(earliest_arrival_ns, context.dispatcher.hold_detector)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._disconnect_detector: DisconnectDetector | None = None  # set with the transport
@@ -82,16 +79,8 @@
         self._transport = transport = cast(asyncio.Transport, transport)
         # With a limit of 0 for a client's write buffer, `resume_writing` is called once the buffer is empty.
         transport.set_write_buffer_limits(high=0)
-        detector = self._disconnect_detector = DisconnectDetector(transport)
-        now = monotonic_ns()
-        if now - self._earliest_unread_arrival_ns < MIN_HOLD_NS or not detector.is_readable():
-            self._earliest_unread_arrival_ns = 0
-        else:
-            # The lower bound of the arrival time of this client's data is raised if possible, because the
-            # data may have arrived much later than the earliest client in the accept queue.
-            data_age_ns = last_data_age_ns(transport.get_extra_info("socket"))
-            if data_age_ns is not None:
-                self._earliest_unread_arrival_ns = max(self._earliest_unread_arrival_ns, now - data_age_ns)
+        self._disconnect_detector = DisconnectDetector(transport)
+        self._arrival_time.on_connected(self._disconnect_detector, transport.get_extra_info("socket"))
         self._table.on_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -117,17 +106,11 @@
         if self._is_closing:
             self._discard(nbytes)
             return
-        earliest_arrival_ns = self._context.dispatcher.hold_detector.earliest_arrival_ns()
-        self._parser.feed(
-            self._memory.copy_read(nbytes),
-            min(earliest_arrival_ns, self._earliest_unread_arrival_ns)
-            if self._earliest_unread_arrival_ns
-            else earliest_arrival_ns,
-        )
+        self._parser.feed(self._memory.copy_read(nbytes), self._arrival_time.of_read_data_ns())
         has_unread = self._memory.is_filled_by(nbytes) and self._detector().is_readable()
         self._advance()
         if not self._is_paused and not has_unread:
-            self._earliest_unread_arrival_ns = 0
+            self._arrival_time.on_all_read()
 
     def _discard(self, nbytes: int) -> None:
         """Discard data that follows the last response; abort after `MAX_LINGERING_BYTES`."""
@@ -228,16 +211,14 @@
         """Pause reading from the client, or resume reading that is paused."""
         self._is_paused = not self._is_paused
         detector = self._detector()
-        if not self._is_paused:
+        if self._is_paused:
+            self._arrival_time.on_paused(detector)
+            transport.pause_reading()
+            detector.start_polling(self._report_half_close)
+        else:
             detector.stop_polling()
-            if not detector.is_readable():
-                self._earliest_unread_arrival_ns = 0
+            self._arrival_time.on_resumed(detector)
             transport.resume_reading()
-            return
-        if not self._earliest_unread_arrival_ns or not detector.is_readable():
-            self._earliest_unread_arrival_ns = monotonic_ns()
-        transport.pause_reading()
-        detector.start_polling(self._report_half_close)
 
     def _serve(self, parsed: ParsedRequest) -> None:
         """Answer a readiness check, or pass the request to the dispatcher."""
@@ -256,28 +237,12 @@
             dispatcher.telemetry.count(Event.REQUEST_REJECTED_BY_MEMORY)
             self.send_response(503, dispatcher.retry_after_headers(), b"")
             return
-        request = self._client_request(parsed)
+        request = client_request(self, parsed, self._context.config.tenant_indices)
         self._deadline_ns = request.deadline_ns
         request_number = dispatcher.accept_request(request)
         if self._is_busy:
             self._request_number = request_number
 
-    def _client_request(self, parsed: ParsedRequest) -> ClientRequest:
-        """Build the request that the dispatcher accepts."""
-        fields, tenants = parsed.header_values, self._context.config.tenant_indices
-        key = fields.get(b"x-key")
-        return ClientRequest(
-            client=self,
-            request_id=fields[b"x-request-id"],
-            head=parsed.forwarded_head(),
-            body=bytes(parsed.body),
-            class_index=parsed.class_index,
-            tenant_index=tenants.get(fields.get(b"x-tenant", b""), len(tenants)),
-            key=hash_key(key) if key else 0,
-            is_client_retry=fields.get(b"x-retry") == b"1",
-            deadline_ns=parsed.arrived_at_ns + parsed.timeout_ns,
-        )
-
     # Methods that write responses to the client, and after each response keep or close its connection.
 
     def send_response(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
--- a/moleport/node/request.py
+++ b/moleport/node/request.py
@@ -11,13 +11,15 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from time import monotonic_ns
 from typing import Protocol
 
 from moleport.config.node_config import Config
 from moleport.node.attempt import Attempt
+from moleport.node.name_hashing import hash_key
+from moleport.node.parsed_request import ParsedRequest
 from moleport.policy import interface as api
 from moleport.telemetry import Event, Telemetry
 from moleport.units import NS_PER_MS, NS_PER_SECOND
@@ -50,7 +52,7 @@
 
 @dataclass(slots=True, eq=False)
 class ClientRequest:
-    """A valid request, which its client connection builds from the parsed request."""
+    """A valid request, which `client_request` builds from the parsed request."""
 
     client: ClientHandle
     request_id: bytes  # X-Request-Id header; the client sets a unique id for each request
@@ -63,6 +65,25 @@
     deadline_ns: int  # time until which the client waits for the response, in monotonic ns
 
 
+def client_request(
+    client: ClientHandle, parsed: ParsedRequest, tenant_indices: Mapping[bytes, int]
+) -> ClientRequest:
+    """Build the request of a client from its parsed form; an unknown tenant gets the index after the last."""
+    fields = parsed.header_values
+    key = fields.get(b"x-key")
+    return ClientRequest(
+        client=client,
+        request_id=fields[b"x-request-id"],
+        head=parsed.forwarded_head(),
+        body=bytes(parsed.body),
+        class_index=parsed.class_index,
+        tenant_index=tenant_indices.get(fields.get(b"x-tenant", b""), len(tenant_indices)),
+        key=hash_key(key) if key else 0,
+        is_client_retry=fields.get(b"x-retry") == b"1",
+        deadline_ns=parsed.arrived_at_ns + parsed.timeout_ns,
+    )
+
+
 @dataclass(slots=True, eq=False)
 class PendingRequest:
     """A request that has no final response yet, or has attempts in flight."""
--- a/tests/node/test_client_memory.py
+++ b/tests/node/test_client_memory.py
@@ -133,7 +133,7 @@
                 client.writer.write(data.replace(b"X-Request-Id: ", b"X-Request-Id: a", 1))
                 assert status(await client.read()) == 200
             (connection,) = rig.listener.table.connections
-            assert connection._earliest_unread_arrival_ns == 0
+            assert connection._arrival_time._earliest_unread_ns == 0
             assert len(connection._memory.read_buffer()) == READ_BYTES
 
     run(test())
