Process the data of clients in turns with a time budget

Cause: all that a read brought, up to 256 KB, was parsed and answered before the event loop turned to anything else, and so for each readable connection. Nothing bounded the work of an iteration.

Excluded: slots (one connection does it).

Change: TurnQueue cuts a turn after 0.1 ms, and lets the event loop go on after 2 ms of turns. Clients whose turn was cut wait behind those that had nothing to process before, and each iteration serves at least one of them. While a connection waits it is not read, so the kernel holds its client back.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -47,6 +47,7 @@
         self._context = context
         self._table = context.table
         self._memory = context.table.memory
+        self._turns = context.turns
         self._arrival_time = ArrivalTime(earliest_arrival_ns, context.dispatcher.hold_detector)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -68,6 +69,7 @@
         self._write_timer: asyncio.TimerHandle | None = None
         # Whether `_advance`, which processes the client's requests, is running; a nested call then returns.
         self._is_advancing = False
+        self._is_waiting_for_turn = False
         self._is_paused = False
 
     # Callbacks by which the event loop reports data, writes and disconnections of the client.
@@ -159,7 +161,7 @@
             # A nested call of `_advance` returns, because the outer call processes the client's next request.
             return
         self._is_advancing = True
-        self._serve_ready(transport)
+        self._process(transport)
         self._is_advancing = False
         self._count_memory()
         if self._is_closing or transport.is_closing():
@@ -171,7 +173,9 @@
             self._toggle_reading(transport)
         if self._is_busy:
             return
-        if self._detector().is_half_closed:
+        if self._is_waiting_for_turn:
+            self._table.mark_reading(self)
+        elif self._detector().is_half_closed:
             self.close()
         elif parser.has_partial_request():
             self._table.mark_reading(self)
@@ -189,23 +193,55 @@
             if self._memory.is_short():
                 self._table.free_memory()
 
-    def _serve_ready(self, transport: asyncio.Transport) -> None:
-        """Process parsed requests until one waits for its response or none is left."""
-        parser = self._parser
-        while not self._is_busy and not self._is_closing and not transport.is_closing():
-            parser.parse_until_ready()
-            if parser.ready:
-                self._is_busy = True
-                self._table.mark_active(self)
-                self._serve(parser.ready.popleft())
-            elif parser.error_status:
-                # Client data after a parse error can't be parsed: the connection ends with an error response.
-                # All requests before the error have been answered.
-                self._is_busy = True
-                self._keep_alive = False
-                self.send_response(parser.error_status, [], b"")
-            else:
+    def take_turn(self) -> None:
+        """Process the client's data, for which this connection has waited in the turn queue."""
+        self._is_waiting_for_turn = False
+        self._advance()
+
+    def _process(self, transport: asyncio.Transport) -> None:
+        """Process received data and parsed requests in one turn, or wait for a turn."""
+        if self._is_waiting_for_turn or not self._has_work(transport):
+            return
+        if not self._turns.begin_turn():
+            self._is_waiting_for_turn = True
+            self._turns.wait(self)
+            return
+        self._process_next()
+        while self._has_work(transport):
+            if self._turns.is_over():
+                self._is_waiting_for_turn = True
+                self._turns.wait_after_cut(self)
                 break
+            self._process_next()
+        self._turns.end_turn()
+
+    def _has_work(self, transport: asyncio.Transport) -> bool:
+        """Return whether data or a request can be processed now; a request waits for the response before."""
+        if self._is_busy or self._is_closing or transport.is_closing():
+            return False
+        parser = self._parser
+        return bool(parser.ready or parser.error_status or parser.has_unparsed())
+
+    def _process_next(self) -> None:
+        """Process one request, or parse one slice of data."""
+        parser = self._parser
+        if parser.ready:
+            self._is_busy = True
+            self._table.mark_active(self)
+            self._serve(parser.ready.popleft())
+        elif parser.error_status:
+            self._send_parse_error()
+        else:
+            parser.parse_slice()
+
+    def _send_parse_error(self) -> None:
+        """Send the error response of the parser, which ends the connection.
+
+        Client data after a parse error can't be parsed. All requests before the error have been answered.
+        """
+        self._is_busy = True
+        self._keep_alive = False
+        self.send_response(self._parser.error_status, [], b"")
 
     def _toggle_reading(self, transport: asyncio.Transport) -> None:
         """Pause reading from the client, or resume reading that is paused."""
@@ -316,7 +352,9 @@
         if not self._parser.has_partial_request():
             return False
         self._parser.reject(HTTPStatus.REQUEST_TIMEOUT)
-        self._advance()
+        if not self._is_busy and not self._parser.ready:
+            self._send_parse_error()
+        self._count_memory()
         return True
 
     def reclaim(self) -> bool:
@@ -327,7 +365,7 @@
         transport = self._transport
         if transport is None or not self._parser.has_partial_request():
             return self.close_if_nothing_unread()
-        if self._detector().is_readable():
+        if self._is_waiting_for_turn or self._detector().is_readable():
             return False
         self.reject_partial_request()
         self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
--- a/moleport/node/client_context.py
+++ b/moleport/node/client_context.py
@@ -5,18 +5,20 @@
 from moleport.config.node_config import Config
 from moleport.node.connection_table import ConnectionTable
 from moleport.node.dispatcher import Dispatcher
+from moleport.node.turn_queue import TurnQueue
 
 
 class ClientContext:
-    """The dispatcher, configuration, connection table and shutdown state that client connections share."""
+    """What client connections share: dispatcher, configuration, connection table, turns, shutdown state."""
 
-    __slots__ = ("config", "dispatcher", "is_draining", "is_stopping", "table")
+    __slots__ = ("config", "dispatcher", "is_draining", "is_stopping", "table", "turns")
 
     def __init__(self, dispatcher: Dispatcher, config: Config, table: ConnectionTable) -> None:
         """Create the context for a node that is not shutting down."""
         self.dispatcher = dispatcher
         self.config = config
         self.table = table
+        self.turns = TurnQueue()
         # Whether the node's shutdown has begun and readiness checks are answered with 503.
         self.is_stopping = False
         # Whether each response closes its client connection, as the node is shutting down.
--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -20,7 +20,8 @@
 
 MAX_HEADERS_COUNT = 100
 MAX_FRAMED_BODY_BYTES = 8 * MAX_BODY_BYTES  # size limit of a request body including its chunk framing
-# Number of bytes of client data parsed at a time: with small slices few pipelined requests are parsed ahead.
+# Number of bytes of client data that are parsed at a time. With small slices, few pipelined requests are
+# parsed ahead, and no slice takes long.
 PARSE_SLICE_BYTES = 1024
 
 NOT_FORWARDED = HOP_BY_HOP_HEADERS | {b"x-deadline", b"expect"}
@@ -72,14 +73,13 @@
         """
         self._unparsed.append(data, arrived_at_ns)
 
-    def parse_until_ready(self) -> None:
-        """Parse received data until a request is complete or invalid.
+    def parse_slice(self) -> None:
+        """Parse a slice of the received data, of which there must be some.
 
         Parsing all pipelined requests of a client at once would delay other clients and fill the memory.
         """
-        while self._parser is not None and self._unparsed and not self.ready and not self.error_status:
-            data_slice, self._arrived_at_ns = self._unparsed.take(PARSE_SLICE_BYTES)
-            self._parse(data_slice)
+        data_slice, self._arrived_at_ns = self._unparsed.take(PARSE_SLICE_BYTES)
+        self._parse(data_slice)
 
     def _parse(self, data_slice: bytes) -> None:
         assert self._parser is not None
--- /dev/null
+++ b/tests/node/test_turn_queue.py
@@ -0,0 +1,214 @@
+"""Tests of the turns of client connections: data of some clients does not delay the requests of others."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from itertools import pairwise
+from pathlib import Path
+from time import monotonic
+
+import pytest
+from node_process import Program, program
+from rig import Rig, Server, configuration, request, run, status, until
+
+from moleport.node import turn_queue
+from moleport.node.turn_queue import ITERATION_BUDGET_NS, MAX_TURN_NS, TurnQueue
+
+FLOOD_SECONDS = 2.0
+DEADLINE_MS = 300
+# A final response may come half a second after its request's deadline, with 50 ms for the network.
+MAX_RESPONSE_SECONDS = DEADLINE_MS / 1000 + 0.55
+
+CHUNKED_HEAD = request(body=b"x").replace(b"Content-Length: 1", b"Transfer-Encoding: chunked")[:-1]
+FLOODS: dict[str, tuple[int, Callable[[], bytes]]] = {
+    "readiness checks": (1, lambda: b"GET /up HTTP/1.1\r\n\r\n" * 2000),
+    "requests without time": (1, lambda: b"".join(request(X_Deadline="1m") for _ in range(500))),
+    "new names": (1, lambda: b"".join(request(X_Deadline="1m", X_Tenant=f"{n}") for n in range(500))),
+    "one-byte chunks": (200, lambda: CHUNKED_HEAD + b"1\r\nx\r\n" * 80_000),
+    "short fields": (200, lambda: request()[:-2] + b"te:\r\n" * 3000),
+}
+
+
+class Flood:
+    """Sends data on some connections as fast as the node reads it, and reads what the node answers."""
+
+    def __init__(self, node: Program, connection_count: int, data: Callable[[], bytes]) -> None:
+        self._node = node
+        self._data = data
+        self.is_over = False
+        self._connections = [socket.create_connection(node.address) for _ in range(connection_count)]
+
+    async def run(self) -> None:
+        """Send until `is_over` is set."""
+        await asyncio.gather(*(self._use(connection) for connection in self._connections))
+
+    async def _use(self, connection: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=connection)
+        reading = asyncio.create_task(self._discard(reader))
+        with suppress(OSError):
+            while not self.is_over and not reading.done():
+                writer.write(self._data())
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(writer.drain(), 0.5)
+        reading.cancel()
+        writer.transport.abort()
+
+    @staticmethod
+    async def _discard(reader: asyncio.StreamReader) -> None:
+        with suppress(OSError):
+            while await reader.read(1 << 16):
+                pass
+
+
+@pytest.mark.parametrize("name", FLOODS)
+def test_a_flood_does_not_delay_the_requests_of_others_beyond_their_time(name: str, tmp_path: Path) -> None:
+    """Guards against an event loop that processes all data of some clients before it turns to others."""
+    connection_count, data = FLOODS[name]
+
+    async def ask(node: Program) -> float:
+        began = monotonic()
+        client = await node.client()
+        client.writer.write(request(X_Deadline=f"{DEADLINE_MS}m"))
+        assert status(await client.read()) in (200, 503, 504)
+        client.writer.close()
+        return monotonic() - began
+
+    async def test() -> None:
+        async with Server("s-1") as server, program(configuration(server), tmp_path) as node:
+            await ask(node)
+            flood = Flood(node, connection_count, data)
+            flooding = asyncio.create_task(flood.run())
+            times = []
+            end = monotonic() + FLOOD_SECONDS
+            while monotonic() < end:
+                times.append(asyncio.create_task(ask(node)))
+                await asyncio.sleep(0.025)
+            longest_s = max(await asyncio.gather(*times))
+            flood.is_over = True
+            await flooding
+            assert longest_s < MAX_RESPONSE_SECONDS
+            assert node.process.returncode is None
+
+    run(test())
+
+
+class Clock:
+    """Replaces the monotonic clock of the turn queue."""
+
+    def __init__(self) -> None:
+        self.now_ns = 1
+
+    def __call__(self) -> int:
+        return self.now_ns
+
+
+class ScriptedClient:
+    """A client with a number of steps to process, each of which takes `STEP_NS`."""
+
+    STEP_NS = MAX_TURN_NS // 2
+
+    def __init__(self, name: str, steps: int, turns: TurnQueue, clock: Clock, log: list[str]) -> None:
+        self.name = name
+        self.steps = steps
+        self._turns = turns
+        self._clock = clock
+        self._log = log
+
+    def take_turn(self) -> None:
+        """Process steps until the turn is over."""
+        if not self._turns.begin_turn():
+            self._turns.wait(self)
+            return
+        while self.steps:
+            self.steps -= 1
+            self._clock.now_ns += self.STEP_NS
+            self._log.append(self.name)
+            if self.steps and self._turns.is_over():
+                self._turns.wait_after_cut(self)
+                break
+        self._turns.end_turn()
+
+
+def test_turns_leave_time_to_others_and_small_clients_go_first(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an iteration without end, and against a small client that waits behind a large one."""
+    clock = Clock()
+    monkeypatch.setattr(turn_queue, "monotonic_ns", clock)
+
+    async def test() -> None:
+        turns = TurnQueue()
+        log: list[str] = []
+        steps_per_iteration = ITERATION_BUDGET_NS // ScriptedClient.STEP_NS
+        large = ScriptedClient("large", 10 * steps_per_iteration, turns, clock, log)
+        large.take_turn()
+        assert log == ["large"] * 2  # one turn
+        iteration_ends: list[int] = []
+
+        async def observe() -> None:
+            while large.steps:
+                iteration_ends.append(len(log))
+                await asyncio.sleep(0)
+
+        observer = asyncio.create_task(observe())
+        await until(lambda: len(iteration_ends) > 2)
+        log_length = len(log)
+        small = [ScriptedClient("small", 1, turns, clock, log) for _ in range(4)]
+        for client in small:
+            client.take_turn()
+        await until(lambda: not any(client.steps for client in small))
+        # All small clients have a turn within the next iteration, behind one turn of the large client.
+        assert [name for name in log[log_length:] if name == "small"] == ["small"] * 4
+        assert len(log) - log_length <= 2 * steps_per_iteration
+        await observer
+        lengths = [end - start for start, end in pairwise(iteration_ends)]
+        assert max(lengths) <= steps_per_iteration + 2
+
+    run(test())
+
+
+def test_a_turn_within_a_turn_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against recursion where a response to one client gives another one a turn."""
+
+    async def test() -> None:
+        turns = TurnQueue()
+        assert turns.begin_turn()
+        assert not turns.begin_turn()
+        turns.end_turn()
+        assert turns.begin_turn()
+
+    run(test())
+
+
+def test_a_half_closed_client_gets_all_responses_although_its_turn_is_cut() -> None:
+    """Guards against a close of the connection while requests of a cut turn are not answered."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            count = 2000
+            client.writer.write(b"GET /up HTTP/1.1\r\n\r\n" * count)
+            client.writer.write_eof()
+            assert (await client.read_to_end()).count(b"HTTP/1.1 200") == count
+
+    run(test())
+
+
+def test_requests_wait_in_order_while_a_turn_is_cut() -> None:
+    """Guards against responses out of order, and against requests that a cut turn forgets."""
+
+    async def test() -> None:
+        async with Server("s-1") as server, Rig(configuration(server)) as rig:
+            client = await rig.client()
+            count = 300
+            for number in range(count):
+                client.writer.write(request(target="/up" if number % 3 else "/api", X_Number=str(number)))
+            client.writer.write(request(target="/nowhere"))
+            statuses = [status(await client.read()) for _ in range(count + 1)]
+            assert statuses == [200] * count + [404]
+            assert [message.headers["x-number"] for message in server.seen] == [
+                str(number) for number in range(0, count, 3)
+            ]
+
+    run(test())
