Answer 400 to a peer that sends blank lines without end

Cause: the HTTP parser skips blank lines ahead of a request without a callback, so no limit counted them; the connection was taken for idle, and was left open at its time limit, as unread data may be a request.

Change: more than 1,024 bytes in a row that start no request get a 400. The count starts anew with each request.

--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -20,6 +20,8 @@
 
 MAX_HEADERS_COUNT = 100
 MAX_FRAMED_BODY_BYTES = 8 * MAX_BODY_BYTES  # size limit of a request body including its chunk framing
+# Limit on data ahead of a request that starts none; a server ignores blank lines (RFC 9112, section 2.2).
+MAX_BLANK_BYTES = 1024
 # Number of bytes of client data that are parsed at a time. With small slices, few pipelined requests are
 # parsed ahead, and no slice takes long.
 PARSE_SLICE_BYTES = 1024
@@ -56,6 +58,7 @@
         self._arrived_at_ns = 0  # lower bound (monotonic ns) of the arrival time of the data parsed last
         self._partial: ParsedRequest | None = None
         self._in_body = False
+        self._blank_bytes = 0  # data in a row that started no request
         # Request with a complete head that offers another protocol, until a new HTTP parser reads its body.
         self._upgrade_offer: ParsedRequest | None = None
 
@@ -98,13 +101,22 @@
             )
         except httptools.HttpParserError:
             self.error_status = HTTPStatus.BAD_REQUEST
-        partial = self._partial
-        if partial is not None and not self.error_status:
-            self._check_size(partial, len(data_slice))
+        if self._partial is not None and not self.error_status:
+            self._check_size(self._partial, len(data_slice))
+        self._limit_blank_data(len(data_slice))
         if self.error_status:
             self._unparsed.clear()
             self._partial = None
 
+    def _limit_blank_data(self, added_bytes: int) -> None:
+        """Limit data that starts no request; no time limit ends a connection on which it keeps arriving."""
+        if self._partial is not None or self.ready:
+            self._blank_bytes = 0
+            return
+        self._blank_bytes += added_bytes
+        if self._blank_bytes > MAX_BLANK_BYTES and not self.error_status:
+            self.error_status = HTTPStatus.BAD_REQUEST
+
     def _ignore_upgrade(self) -> None:
         """Go on in HTTP/1.1 behind the head of a request that offers another protocol.
 
