Make no late attempt for a client whose end of stream cannot be seen

Cause: while a request was in progress the node did not read on. The end of stream comes behind the client's data, and the kernel does not receive it while its receive buffer is full, so that POLLRDHUP, which is asked before each write, cannot show it.

Where data is left unread all the same, an attempt that would begin more than 50 ms after its request's arrival is denied, and counted. TurnQueue now runs the steps of a turn itself and goes on after an exception in one, which client_connection.py needed the room for.

One test of departures waited for paused reading; it now waits for unparsed data, and a third case (800 requests) keeps the wait for paused reading.

--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -16,6 +16,12 @@
 from moleport.policy import interface as api
 from moleport.policy.interface import NOT_EXECUTED, AttemptResult, EndpointId
 from moleport.telemetry import Event, Telemetry
+from moleport.units import NS_PER_MS
+
+MAX_UNSEEN_NS = 50 * NS_PER_MS
+"""Time after a request's arrival in which its attempts may begin although its client's end can't be seen.
+
+No attempt may begin more than 100 ms after its client has closed the connection."""
 
 
 class AttemptSupervisor:
@@ -112,8 +118,20 @@
             self.record_attempt_event(attempt, Event.ATTEMPT_STOPPED_CLIENT_DISCONNECTED)
             self._requests.on_client_half_closed(request.request_number)
             return WritePermission.DENIED
+        if self._may_have_left_unseen(request):
+            self.record_attempt_event(attempt, Event.ATTEMPT_STOPPED_CLIENT_UNSEEN)
+            return WritePermission.DENIED
         return WritePermission.GRANTED
 
+    @staticmethod
+    def _may_have_left_unseen(request: PendingRequest) -> bool:
+        """Return whether the client may have left long ago, with an end that is behind unread data."""
+        client_request = request.client_request
+        return (
+            client_request.client.may_hide_disconnection()
+            and monotonic_ns() - client_request.arrived_at_ns > MAX_UNSEEN_NS
+        )
+
     def record_attempt_event(self, attempt: Attempt, event: Event) -> None:
         """Count and trace an event of one attempt."""
         self._telemetry.count(
--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -6,7 +6,8 @@
 - `eof_received`: the event loop reports that the client has shut down its sending side.
 - `has_disconnected`: `AttemptSupervisor.authorize_write` asks the kernel before it opens a
   connection to a server and before it writes a request.
-- `DisconnectDetector` polls the kernel while reading is paused.
+- `DisconnectDetector` polls the kernel while reading is paused. Not even the kernel knows of an end of
+  stream that its full receive buffer keeps out; see `may_hide_disconnection`.
 
 The disconnection is reported to `RequestRegistry` by `on_client_disconnected` (the client gets no response)
 or by `on_client_half_closed` (the client may still read a response).
@@ -15,6 +16,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from http import HTTPStatus
 from time import monotonic_ns
 from typing import cast
@@ -25,16 +27,16 @@
 from moleport.node.parsed_request import READINESS_PATH, ParsedRequest
 from moleport.node.request import client_request
 from moleport.node.request_parser import RequestParser
-from moleport.node.response_format import format_response
+from moleport.node.response_format import CONTINUE_RESPONSE, format_response
 from moleport.telemetry import Event
 from moleport.units import NS_PER_SECOND
 
+log = logging.getLogger(__name__)
+
 MAX_WRITE_SECONDS = 10.0  # time limit for a client to read a response to a request without a deadline
 # Limit in bytes on the client data that is read and discarded after a connection's last response.
 MAX_LINGERING_BYTES = 128 << 10
 
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
 
 class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection; its requests are processed one at a time."""
@@ -47,7 +49,6 @@
         self._context = context
         self._table = context.table
         self._memory = context.table.memory
-        self._turns = context.turns
         self._arrival_time = ArrivalTime(earliest_arrival_ns, context.dispatcher.hold_detector)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -55,7 +56,6 @@
         self._parser = RequestParser(context.config)
         # Request number (an id from `RequestRegistry`) of the client's request in progress; 0: no request.
         self._request_number = 0
-        self._used_bytes = 0  # memory of this connection's requests, as counted in `ClientMemory`
         self._request_bytes = 0  # memory of the request in progress
         # Whether a request of the client is unanswered, or its response is not fully written.
         self._is_busy = False
@@ -144,6 +144,10 @@
         """Return whether the client has half-closed or closed the connection, as the kernel reports it."""
         return self._detector().has_disconnected()
 
+    def may_hide_disconnection(self) -> bool:
+        """Return whether the client's end of stream may be behind data that the node does not read."""
+        return self._is_paused and self._detector().is_readable()
+
     def _report_half_close(self) -> None:
         if self._request_number:
             self._context.dispatcher.on_client_half_closed(self._request_number)
@@ -161,15 +165,14 @@
             # A nested call of `_advance` returns, because the outer call processes the client's next request.
             return
         self._is_advancing = True
-        self._process(transport)
+        if not self._is_waiting_for_turn and self.has_work():
+            self._is_waiting_for_turn = self._context.turns.process(self)
         self._is_advancing = False
         self._count_memory()
         if self._is_closing or transport.is_closing():
             return
         parser = self._parser
-        # Reading from a client is paused while its received requests wait for an earlier response, so that
-        # further data stays in the kernel's receive buffer.
-        if self._is_paused != bool(parser.ready or parser.has_unparsed()):
+        if self._is_paused != self._should_pause():
             self._toggle_reading(transport)
         if self._is_busy:
             return
@@ -185,44 +188,27 @@
             self._table.mark_idle(self)
 
     def _count_memory(self) -> None:
-        """Count the change of the memory that this connection's requests use; free memory if it is short."""
-        used_bytes = self._parser.memory_bytes() + self._request_bytes
-        if used_bytes != self._used_bytes:
-            self._memory.used_bytes += used_bytes - self._used_bytes
-            self._used_bytes = used_bytes
-            if self._memory.is_short():
-                self._table.free_memory()
+        """Count the memory that this connection's requests use; free memory if it is short."""
+        if self._memory.count(self, self._parser.memory_bytes() + self._request_bytes):
+            self._table.free_memory()
 
     def take_turn(self) -> None:
         """Process the client's data, for which this connection has waited in the turn queue."""
         self._is_waiting_for_turn = False
-        self._advance()
+        try:
+            self._advance()
+        except Exception:
+            log.exception("could not process data of a client; its connection is aborted")
+            self.abort()
 
-    def _process(self, transport: asyncio.Transport) -> None:
-        """Process received data and parsed requests in one turn, or wait for a turn."""
-        if self._is_waiting_for_turn or not self._has_work(transport):
-            return
-        if not self._turns.begin_turn():
-            self._is_waiting_for_turn = True
-            self._turns.wait(self)
-            return
-        self._process_next()
-        while self._has_work(transport):
-            if self._turns.is_over():
-                self._is_waiting_for_turn = True
-                self._turns.wait_after_cut(self)
-                break
-            self._process_next()
-        self._turns.end_turn()
-
-    def _has_work(self, transport: asyncio.Transport) -> bool:
+    def has_work(self) -> bool:
         """Return whether data or a request can be processed now; a request waits for the response before."""
-        if self._is_busy or self._is_closing or transport.is_closing():
+        transport = self._transport
+        if self._is_busy or self._is_closing or transport is None or transport.is_closing():
             return False
-        parser = self._parser
-        return bool(parser.ready or parser.error_status or parser.has_unparsed())
+        return self._parser.has_work()
 
-    def _process_next(self) -> None:
+    def process_next(self) -> None:
         """Process one request, or parse one slice of data."""
         parser = self._parser
         if parser.ready:
@@ -243,6 +229,15 @@
         self._keep_alive = False
         self.send_response(self._parser.error_status, [], b"")
 
+    def _should_pause(self) -> bool:
+        """Return whether no more data should be read, so that it stays in the kernel's receive buffer.
+
+        Data behind the request in progress is read within limits, because the kernel does not receive the
+        client's end of stream while its receive buffer is full.
+        """
+        parser = self._parser
+        return parser.has_unparsed() and (parser.is_full() or not self._memory.may_read_ahead())
+
     def _toggle_reading(self, transport: asyncio.Transport) -> None:
         """Pause reading from the client, or resume reading that is paused."""
         self._is_paused = not self._is_paused
--- a/moleport/node/client_memory.py
+++ b/moleport/node/client_memory.py
@@ -10,6 +10,8 @@
 SHORT_READ_BYTES = 1 << 10
 # Fraction of the process's memory limit for requests of clients; the node itself uses most of the rest.
 CLIENT_MEMORY_RATIO = 0.125
+# Fraction of that share up to which clients are read ahead of their request in progress.
+READ_AHEAD_RATIO = 0.5
 # Fraction of that share down to which partial requests are rejected once the share is used up.
 RELIEF_RATIO = 0.875
 
@@ -17,20 +19,37 @@
 class ClientMemory:
     """Counts the memory of all clients' requests, and holds the buffer that their connections share."""
 
-    __slots__ = ("_buffer", "_last_buffer", "_short_buffer", "max_bytes", "used_bytes")
+    __slots__ = ("_buffer", "_last_buffer", "_short_buffer", "_used_bytes", "max_bytes", "used_bytes")
 
     def __init__(self, max_process_bytes: int | None) -> None:
         """Create an account for a process with this memory limit in bytes; None: it has no limit."""
         self.max_bytes = math.inf if max_process_bytes is None else CLIENT_MEMORY_RATIO * max_process_bytes
         self.used_bytes = 0  # memory of requests that are incomplete, not parsed yet or unanswered
+        self._used_bytes: dict[object, int] = {}  # the same of each connection that uses memory
         self._buffer = memoryview(bytearray(READ_BYTES))
         self._short_buffer = self._buffer[:SHORT_READ_BYTES]
         self._last_buffer = self._buffer
 
+    def count(self, connection: object, used_bytes: int) -> bool:
+        """Set the memory that requests of a connection use; return whether it grew and memory is short."""
+        change = used_bytes - self._used_bytes.get(connection, 0)
+        if not change:
+            return False
+        self.used_bytes += change
+        if used_bytes:
+            self._used_bytes[connection] = used_bytes
+        else:
+            del self._used_bytes[connection]
+        return change > 0 and self.is_short()
+
     def is_short(self) -> bool:
         """Return whether requests of clients use more than their share."""
         return self.used_bytes > self.max_bytes
 
+    def may_read_ahead(self) -> bool:
+        """Return whether there is memory for data behind requests in progress."""
+        return self.used_bytes <= READ_AHEAD_RATIO * self.max_bytes
+
     def needs_relief(self) -> bool:
         """Return whether requests still use so much that more partial requests should be rejected."""
         return self.used_bytes > RELIEF_RATIO * self.max_bytes
--- a/moleport/node/request.py
+++ b/moleport/node/request.py
@@ -41,6 +41,10 @@
         """Return whether the kernel has received the client's end of stream, even if it is unread."""
         ...
 
+    def may_hide_disconnection(self) -> bool:
+        """Return whether the client's end of stream may be behind data that the node does not read."""
+        ...
+
     def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the final response of the request in progress."""
         ...
@@ -62,6 +66,7 @@
     tenant_index: int
     key: int  # hash of the request's X-Key header; 0: no key
     is_client_retry: bool
+    arrived_at_ns: int  # lower bound (monotonic ns) of the arrival of the request's last byte
     deadline_ns: int  # time until which the client waits for the response, in monotonic ns
 
 
@@ -80,6 +85,7 @@
         tenant_index=tenant_indices.get(fields.get(b"x-tenant", b""), len(tenant_indices)),
         key=hash_key(key) if key else 0,
         is_client_retry=fields.get(b"x-retry") == b"1",
+        arrived_at_ns=parsed.arrived_at_ns,
         deadline_ns=parsed.arrived_at_ns + parsed.timeout_ns,
     )
 
--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -20,6 +20,9 @@
 
 MAX_HEADERS_COUNT = 100
 MAX_FRAMED_BODY_BYTES = 8 * MAX_BODY_BYTES  # size limit of a request body including its chunk framing
+# Size of a client's unparsed data from which on no more is read. Up to there, its end of stream is seen
+# even behind requests that wait for the response before theirs.
+MAX_UNPARSED_BYTES = MAX_BODY_BYTES
 # Limit on data ahead of a request that starts none; a server ignores blank lines (RFC 9112, section 2.2).
 MAX_BLANK_BYTES = 1024
 # Number of bytes of client data that are parsed at a time. With small slices, few pipelined requests are
@@ -135,6 +138,10 @@
         elif not self._in_body and partial.size_bytes > MAX_HEAD_BYTES:
             self.error_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
+    def has_work(self) -> bool:
+        """Return whether there is a complete request, an error or data to parse."""
+        return bool(self.ready or self.error_status or self._unparsed)
+
     def has_partial_request(self) -> bool:
         """Return whether bytes of an incomplete or unparsed request have been received."""
         return self._partial is not None or bool(self._unparsed)
@@ -158,6 +165,10 @@
         """Return whether received data is not parsed yet."""
         return bool(self._unparsed)
 
+    def is_full(self) -> bool:
+        """Return whether so much data is not parsed yet that no more should be read."""
+        return self._unparsed.size_bytes >= MAX_UNPARSED_BYTES
+
     def wants_continue(self) -> bool:
         """Return whether the client waits for a 100 (Continue) to send the body; True once per request."""
         partial = self._partial
--- a/moleport/node/response_format.py
+++ b/moleport/node/response_format.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 ALLOW_HEADER = b"Allow: GET, POST\r\n"
 
 
--- a/moleport/node/turn_queue.py
+++ b/moleport/node/turn_queue.py
@@ -23,10 +23,18 @@
 
 
 class Client(Protocol):
-    """A client connection with data to process."""
+    """A client connection that processes its data step by step."""
+
+    def has_work(self) -> bool:
+        """Return whether a step can be taken now."""
+        ...
+
+    def process_next(self) -> None:
+        """Take one step, which is short."""
+        ...
 
     def take_turn(self) -> None:
-        """Process data between `TurnQueue.begin_turn` and `TurnQueue.end_turn`, or join the queue again."""
+        """Have a turn after a wait in the queue; calls `TurnQueue.process` if there still is work."""
         ...
 
 
@@ -40,40 +48,42 @@
         self._cut: deque[Client] = deque()  # clients whose last turn was cut
         self._is_scheduled = False
         self._is_in_turn = False
-        self._turn_began_ns = 0  # monotonic ns
         # Sum of the turns in ns. It is reset in the iteration after it has reached ITERATION_BUDGET_NS, so it
         # may include turns of earlier iterations; a client then waits until the next iteration at most.
         self._spent_ns = 0
 
-    def begin_turn(self) -> bool:
-        """Begin a turn if none is in progress and time for turns is left; return whether it began."""
+    def process(self, client: Client) -> bool:
+        """Take steps of a client that has work, in one turn; return whether it has to wait for another turn.
+
+        It waits at once if another turn is in progress, or if the time for turns is used up.
+        """
         if self._is_in_turn or self._spent_ns >= ITERATION_BUDGET_NS:
-            return False
+            self._waiting.append(client)
+            self._schedule()
+            return True
         self._is_in_turn = True
-        self._turn_began_ns = monotonic_ns()
-        return True
-
-    def is_over(self) -> bool:
-        """Return whether the turn in progress has to be cut."""
-        used_ns = monotonic_ns() - self._turn_began_ns
-        return used_ns >= MAX_TURN_NS or self._spent_ns + used_ns >= ITERATION_BUDGET_NS
-
-    def end_turn(self) -> None:
-        """End the turn in progress."""
-        self._is_in_turn = False
-        self._spent_ns += monotonic_ns() - self._turn_began_ns
-        if self._spent_ns >= ITERATION_BUDGET_NS:
+        began_at_ns = monotonic_ns()
+        try:
+            is_cut = self._take_steps(client, began_at_ns)
+        finally:
+            self._is_in_turn = False
+            self._spent_ns += monotonic_ns() - began_at_ns
+            if self._spent_ns >= ITERATION_BUDGET_NS:
+                self._schedule()
+        if is_cut:
+            self._cut.append(client)
             self._schedule()
-
-    def wait(self, client: Client) -> None:
-        """Add a client whose turn could not begin."""
-        self._waiting.append(client)
-        self._schedule()
-
-    def wait_after_cut(self, client: Client) -> None:
-        """Add a client whose turn was cut."""
-        self._cut.append(client)
-        self._schedule()
+        return is_cut
+
+    def _take_steps(self, client: Client, began_at_ns: int) -> bool:
+        """Take steps until the client has no more work or the turn is over; return whether work is left."""
+        client.process_next()
+        while client.has_work():
+            used_ns = monotonic_ns() - began_at_ns
+            if used_ns >= MAX_TURN_NS or self._spent_ns + used_ns >= ITERATION_BUDGET_NS:
+                return True
+            client.process_next()
+        return False
 
     def _schedule(self) -> None:
         if not self._is_scheduled:
@@ -84,9 +94,11 @@
         """Give turns to the clients that wait, for as long as an iteration of the event loop may last."""
         self._is_scheduled = False
         self._spent_ns = 0
-        if self._cut:
-            self._cut.popleft().take_turn()
-        while (self._waiting or self._cut) and self._spent_ns < ITERATION_BUDGET_NS:
-            (self._waiting or self._cut).popleft().take_turn()
-        if self._waiting or self._cut:
-            self._schedule()
+        try:
+            if self._cut:
+                self._cut.popleft().take_turn()
+            while (self._waiting or self._cut) and self._spent_ns < ITERATION_BUDGET_NS:
+                (self._waiting or self._cut).popleft().take_turn()
+        finally:
+            if self._waiting or self._cut:
+                self._schedule()
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -61,6 +61,8 @@
     """An attempt other than the first of its request was written; ATTEMPT_WRITTEN counts it too."""
     ATTEMPT_STOPPED_CLIENT_DISCONNECTED = "attempt_stopped_client_disconnected"
     """An attempt was not written because its client had disconnected."""
+    ATTEMPT_STOPPED_CLIENT_UNSEEN = "attempt_stopped_client_unseen"
+    """An attempt was not written because its client may have disconnected behind data that is not read."""
     ATTEMPT_STOPPED_SERVER_REMOVED = "attempt_stopped_server_removed"
     """An attempt was not written because its server was draining or removed."""
     ATTEMPT_STOPPED_AFTER_DEADLINE = "attempt_stopped_too_late"
--- a/tests/node/test_clients.py
+++ b/tests/node/test_clients.py
@@ -216,8 +216,9 @@
 
 
 @pytest.mark.parametrize("how", DISCONNECT_MODES)
-# 300 requests are more than the node reads at once, and less than the kernel buffers.
-@pytest.mark.parametrize("pipelined_count", [1, 300])
+# 300 requests are more than one read returns, 800 more than the node reads ahead, and less than the kernel
+# buffers.
+@pytest.mark.parametrize("pipelined_count", [1, 300, 800])
 def test_no_pipelined_request_of_a_disconnected_client_is_forwarded(how: str, pipelined_count: int) -> None:
     """The client's end of stream is queued in the kernel behind unread requests."""
     release = asyncio.Event()
@@ -230,7 +231,8 @@
             client.writer.write(b"".join(request("order") for _ in range(1 + pipelined_count)))
             await until(lambda: server.seen)
             (connection,) = rig.listener.table.connections
-            await until(lambda: connection._is_paused)
+            await until(lambda: connection._is_paused is (pipelined_count == 800))
+            await until(lambda: connection._parser.ready or connection._parser.has_unparsed())
             client.disconnect(how)
             await until(lambda: connection._detector().is_half_closed or not rig.listener.table.connections)
             release.set()
--- a/tests/node/test_turn_queue.py
+++ b/tests/node/test_turn_queue.py
@@ -117,19 +117,16 @@
         self._clock = clock
         self._log = log
 
+    def has_work(self) -> bool:
+        return self.steps > 0
+
+    def process_next(self) -> None:
+        self.steps -= 1
+        self._clock.now_ns += self.STEP_NS
+        self._log.append(self.name)
+
     def take_turn(self) -> None:
-        """Process steps until the turn is over."""
-        if not self._turns.begin_turn():
-            self._turns.wait(self)
-            return
-        while self.steps:
-            self.steps -= 1
-            self._clock.now_ns += self.STEP_NS
-            self._log.append(self.name)
-            if self.steps and self._turns.is_over():
-                self._turns.wait_after_cut(self)
-                break
-        self._turns.end_turn()
+        self._turns.process(self)
 
 
 def test_turns_leave_time_to_others_and_small_clients_go_first(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -168,15 +165,24 @@
     run(test())
 
 
-def test_a_turn_within_a_turn_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against recursion where a response to one client gives another one a turn."""
+def test_a_turn_within_a_turn_waits_and_an_exception_ends_only_its_own_turn() -> None:
+    """Guards against recursion between clients, and against a fault of one that stops the others."""
 
     async def test() -> None:
         turns = TurnQueue()
-        assert turns.begin_turn()
-        assert not turns.begin_turn()
-        turns.end_turn()
-        assert turns.begin_turn()
+        log: list[str] = []
+        other = ScriptedClient("other", 1, turns, Clock(), log)
+
+        class Failing(ScriptedClient):
+            def process_next(self) -> None:
+                super().process_next()
+                assert turns.process(other)  # waits, as this turn is in progress
+                assert not other.steps or log == ["failing"]
+                raise ValueError(self.name)
+
+        with pytest.raises(ValueError, match="failing"):
+            turns.process(Failing("failing", 1, turns, Clock(), log))
+        await until(lambda: log == ["failing", "other"])
 
     run(test())
 
