Count memory and take turns with fewer calls for each request

Cause: the memory share and the turns had made a request dearer.

Change: of a request in progress the body alone is counted; the buffer for the next read is chosen when the account changes; a step of a turn is a slice and the request that it completes; the detector is made with its connection. The search runs once in 20 ms. Data of which nothing is parsed is neither rejected nor closed at a time limit, since it may be a complete request; a connection that has sent its last response drops what it had not parsed.

--- a/moleport/node/arrival_time.py
+++ b/moleport/node/arrival_time.py
@@ -43,9 +43,10 @@
         earliest_ns = self._hold_detector.earliest_arrival_ns()
         return min(earliest_ns, self._earliest_unread_ns) if self._earliest_unread_ns else earliest_ns
 
-    def on_all_read(self) -> None:
-        """Drop the bound, as no data is unread and reading goes on."""
-        self._earliest_unread_ns = 0
+    def on_read(self, detector: DisconnectDetector, may_have_filled_buffer: bool) -> None:
+        """Drop the bound after a read that left nothing unread, unless reading is paused."""
+        if self._earliest_unread_ns and not (may_have_filled_buffer and detector.is_readable()):
+            self._earliest_unread_ns = 0
 
     def on_paused(self, detector: DisconnectDetector) -> None:
         """Keep the bound of data that is unread already; otherwise set it to now, as reading is paused."""
--- a/moleport/node/attempt_supervisor.py
+++ b/moleport/node/attempt_supervisor.py
@@ -118,20 +118,11 @@
             self.record_attempt_event(attempt, Event.ATTEMPT_STOPPED_CLIENT_DISCONNECTED)
             self._requests.on_client_half_closed(request.request_number)
             return WritePermission.DENIED
-        if self._may_have_left_unseen(request):
+        if request.client_request.client.may_hide_disconnection() and _has_arrived_long_ago(request):
             self.record_attempt_event(attempt, Event.ATTEMPT_STOPPED_CLIENT_UNSEEN)
             return WritePermission.DENIED
         return WritePermission.GRANTED
 
-    @staticmethod
-    def _may_have_left_unseen(request: PendingRequest) -> bool:
-        """Return whether the client may have left long ago, with an end that is behind unread data."""
-        client_request = request.client_request
-        return (
-            client_request.client.may_hide_disconnection()
-            and monotonic_ns() - client_request.arrived_at_ns > MAX_UNSEEN_NS
-        )
-
     def record_attempt_event(self, attempt: Attempt, event: Event) -> None:
         """Count and trace an event of one attempt."""
         self._telemetry.count(
@@ -229,3 +220,8 @@
             # The attempt result CLIENT_ERROR is a fault of the request. Its status is forwarded without a
             # retry, because another server would send the same response.
             self._requests.send_final_response(request.request_number, response.status, [])
+
+
+def _has_arrived_long_ago(request: PendingRequest) -> bool:
+    """Return whether a client whose end of stream is not seen may have left too long ago for an attempt."""
+    return monotonic_ns() - request.client_request.arrived_at_ns > MAX_UNSEEN_NS
--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -52,11 +52,12 @@
         self._arrival_time = ArrivalTime(earliest_arrival_ns, context.dispatcher.hold_detector)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._disconnect_detector: DisconnectDetector | None = None  # set with the transport
+        self._disconnect_detector = DisconnectDetector()
         self._parser = RequestParser(context.config)
         # Request number (an id from `RequestRegistry`) of the client's request in progress; 0: no request.
         self._request_number = 0
-        self._request_bytes = 0  # memory of the request in progress
+        self._used_bytes = 0  # memory of this connection's requests, as counted in `ClientMemory`
+        self._body_bytes = 0  # size of the body of the request in progress
         # Whether a request of the client is unanswered, or its response is not fully written.
         self._is_busy = False
         self._keep_alive = True
@@ -81,7 +82,7 @@
         self._transport = transport = cast(asyncio.Transport, transport)
         # With a limit of 0 for a client's write buffer, `resume_writing` is called once the buffer is empty.
         transport.set_write_buffer_limits(high=0)
-        self._disconnect_detector = DisconnectDetector(transport)
+        self._disconnect_detector.attach(transport)
         self._arrival_time.on_connected(self._disconnect_detector, transport.get_extra_info("socket"))
         self._table.on_connected(self)
 
@@ -89,8 +90,8 @@
         """Report the client's disconnection: its connection is closed or reset."""
         self._is_closing = True
         self._parser.close()
-        self._detector().close()
-        self._request_bytes = 0
+        self._disconnect_detector.close()
+        self._body_bytes = 0
         self._count_memory()
         if self._write_timer is not None:
             self._write_timer.cancel()
@@ -101,18 +102,17 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that the event loop reads the client's data into; all connections share it."""
-        return self._memory.read_buffer()
+        return self._memory.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the client's data, `nbytes` of the shared buffer, and process its next request."""
         if self._is_closing:
             self._discard(nbytes)
             return
-        self._parser.feed(self._memory.copy_read(nbytes), self._arrival_time.of_read_data_ns())
-        has_unread = self._memory.is_filled_by(nbytes) and self._detector().is_readable()
+        self._parser.feed(bytes(self._memory.read_buffer[:nbytes]), self._arrival_time.of_read_data_ns())
         self._advance()
-        if not self._is_paused and not has_unread:
-            self._arrival_time.on_all_read()
+        if not self._is_paused:
+            self._arrival_time.on_read(self._disconnect_detector, self._memory.may_fill_buffer(nbytes))
 
     def _discard(self, nbytes: int) -> None:
         """Discard data that follows the last response; abort after `MAX_LINGERING_BYTES`."""
@@ -126,7 +126,7 @@
         A half-closed client may still wait for the response to a complete request. As most clients that look
         half-closed have closed the connection, a request that is not forwarded yet will not be forwarded.
         """
-        self._detector().is_half_closed = True
+        self._disconnect_detector.is_half_closed = True
         self._report_half_close()
         has_pending_request = self._is_busy or bool(self._parser.ready) or self._parser.has_unparsed()
         return has_pending_request and not self._is_closing
@@ -142,20 +142,16 @@
 
     def has_disconnected(self) -> bool:
         """Return whether the client has half-closed or closed the connection, as the kernel reports it."""
-        return self._detector().has_disconnected()
+        return self._disconnect_detector.has_disconnected()
 
     def may_hide_disconnection(self) -> bool:
         """Return whether the client's end of stream may be behind data that the node does not read."""
-        return self._is_paused and self._detector().is_readable()
+        return self._is_paused and self._disconnect_detector.is_readable()
 
     def _report_half_close(self) -> None:
         if self._request_number:
             self._context.dispatcher.on_client_half_closed(self._request_number)
 
-    def _detector(self) -> DisconnectDetector:
-        assert self._disconnect_detector is not None
-        return self._disconnect_detector
-
     # Methods that process the client's requests in order of arrival.
 
     def _advance(self) -> None:
@@ -172,13 +168,13 @@
         if self._is_closing or transport.is_closing():
             return
         parser = self._parser
-        if self._is_paused != self._should_pause():
-            self._toggle_reading(transport)
+        if self._is_paused or parser.has_unparsed():
+            self._update_reading(transport)
         if self._is_busy:
             return
         if self._is_waiting_for_turn:
             self._table.mark_reading(self)
-        elif self._detector().is_half_closed:
+        elif self._disconnect_detector.is_half_closed:
             self.close()
         elif parser.has_partial_request():
             self._table.mark_reading(self)
@@ -189,8 +185,12 @@
 
     def _count_memory(self) -> None:
         """Count the memory that this connection's requests use; free memory if it is short."""
-        if self._memory.count(self, self._parser.memory_bytes() + self._request_bytes):
-            self._table.free_memory()
+        used_bytes = self._parser.memory_bytes() + self._body_bytes
+        if used_bytes != self._used_bytes:
+            self._memory.change(used_bytes - self._used_bytes)
+            self._used_bytes = used_bytes
+            if self._memory.is_short():
+                self._table.free_memory()
 
     def take_turn(self) -> None:
         """Process the client's data, for which this connection has waited in the turn queue."""
@@ -203,22 +203,22 @@
 
     def has_work(self) -> bool:
         """Return whether data or a request can be processed now; a request waits for the response before."""
-        transport = self._transport
+        transport, parser = self._transport, self._parser
         if self._is_busy or self._is_closing or transport is None or transport.is_closing():
             return False
-        return self._parser.has_work()
+        return bool(parser.ready or parser.error_status or parser.has_unparsed())
 
     def process_next(self) -> None:
-        """Process one request, or parse one slice of data."""
+        """Parse a slice of data if no request is ready, and process a request that is."""
         parser = self._parser
+        if not parser.ready and not parser.error_status:
+            parser.parse_slice()
         if parser.ready:
             self._is_busy = True
             self._table.mark_active(self)
             self._serve(parser.ready.popleft())
         elif parser.error_status:
             self._send_parse_error()
-        else:
-            parser.parse_slice()
 
     def _send_parse_error(self) -> None:
         """Send the error response of the parser, which ends the connection.
@@ -229,20 +229,18 @@
         self._keep_alive = False
         self.send_response(self._parser.error_status, [], b"")
 
-    def _should_pause(self) -> bool:
-        """Return whether no more data should be read, so that it stays in the kernel's receive buffer.
+    def _update_reading(self, transport: asyncio.Transport) -> None:
+        """Pause reading once much data is not parsed, so that more stays in the kernel, or resume it.
 
         Data behind the request in progress is read within limits, because the kernel does not receive the
         client's end of stream while its receive buffer is full.
         """
-        parser = self._parser
-        return parser.has_unparsed() and (parser.is_full() or not self._memory.may_read_ahead())
-
-    def _toggle_reading(self, transport: asyncio.Transport) -> None:
-        """Pause reading from the client, or resume reading that is paused."""
-        self._is_paused = not self._is_paused
-        detector = self._detector()
-        if self._is_paused:
+        parser, detector = self._parser, self._disconnect_detector
+        has_enough = parser.has_unparsed() and (parser.is_full() or not self._memory.may_read_ahead())
+        if has_enough is self._is_paused:
+            return
+        self._is_paused = has_enough
+        if has_enough:
             self._arrival_time.on_paused(detector)
             transport.pause_reading()
             detector.start_polling(self._report_half_close)
@@ -254,14 +252,14 @@
     def _serve(self, parsed: ParsedRequest) -> None:
         """Answer a readiness check, or pass the request to the dispatcher."""
         self._keep_alive = parsed.keep_alive
-        self._request_bytes = parsed.memory_bytes()
+        self._body_bytes = len(parsed.body)
         self._deadline_ns = 0
         dispatcher = self._context.dispatcher
         if parsed.path == READINESS_PATH:
             is_ready = dispatcher.has_endpoints() and not self._context.is_stopping
             self.send_response(200 if is_ready else 503, [], b"")
             return
-        if self._detector().is_half_closed:
+        if self._disconnect_detector.is_half_closed:
             self.send_response(503, dispatcher.retry_after_headers(), b"")
             return
         if self._memory.is_short():
@@ -315,10 +313,13 @@
         transport = self._transport
         assert transport is not None
         self._is_busy = False
-        self._request_bytes = 0
+        self._body_bytes = 0
         if not self._is_closing:
             self._advance()
-        elif self._detector().is_half_closed or transport.is_closing():
+            return
+        self._parser.close()
+        self._count_memory()
+        if self._disconnect_detector.is_half_closed or transport.is_closing():
             transport.close()
         else:
             self._start_lingering_close(transport)
@@ -343,8 +344,11 @@
             self._context.dispatcher.telemetry.count(Event.CLIENT_CLOSED_IDLE)
 
     def reject_partial_request(self) -> bool:
-        """Answer 408 to a partial request and discard it; return whether there was one."""
-        if not self._parser.has_partial_request():
+        """Answer 408 to a partial request and discard it; return whether there was one.
+
+        Data of which nothing is parsed yet may be a complete request, and is kept.
+        """
+        if not self._parser.has_begun_request():
             return False
         self._parser.reject(HTTPStatus.REQUEST_TIMEOUT)
         if not self._is_busy and not self._parser.ready:
@@ -360,7 +364,7 @@
         transport = self._transport
         if transport is None or not self._parser.has_partial_request():
             return self.close_if_nothing_unread()
-        if self._is_waiting_for_turn or self._detector().is_readable():
+        if self._is_waiting_for_turn or self._disconnect_detector.is_readable():
             return False
         self.reject_partial_request()
         self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
@@ -378,12 +382,12 @@
             self._transport.abort()
 
     def close_if_nothing_unread(self) -> bool:
-        """Close the connection unless it has unread data, which may be a complete request.
+        """Close the connection unless it has unread or unparsed data, which may be a complete request.
 
         Return whether the connection is closed.
         """
         if self._transport is not None and not self._transport.is_closing():
-            if self._detector().is_readable():
+            if self._parser.has_unparsed() or self._disconnect_detector.is_readable():
                 return False
             self._transport.close()
         return True
--- a/moleport/node/client_memory.py
+++ b/moleport/node/client_memory.py
@@ -19,28 +19,20 @@
 class ClientMemory:
     """Counts the memory of all clients' requests, and holds the buffer that their connections share."""
 
-    __slots__ = ("_buffer", "_last_buffer", "_short_buffer", "_used_bytes", "max_bytes", "used_bytes")
+    __slots__ = ("_buffer", "_short_buffer", "max_bytes", "read_buffer", "used_bytes")
 
     def __init__(self, max_process_bytes: int | None) -> None:
         """Create an account for a process with this memory limit in bytes; None: it has no limit."""
         self.max_bytes = math.inf if max_process_bytes is None else CLIENT_MEMORY_RATIO * max_process_bytes
-        self.used_bytes = 0  # memory of requests that are incomplete, not parsed yet or unanswered
-        self._used_bytes: dict[object, int] = {}  # the same of each connection that uses memory
+        self.used_bytes = 0  # memory of incomplete and unparsed requests, and of bodies in progress
         self._buffer = memoryview(bytearray(READ_BYTES))
         self._short_buffer = self._buffer[:SHORT_READ_BYTES]
-        self._last_buffer = self._buffer
+        self.read_buffer = self._buffer  # buffer for the next read; its data is valid until then
 
-    def count(self, connection: object, used_bytes: int) -> bool:
-        """Set the memory that requests of a connection use; return whether it grew and memory is short."""
-        change = used_bytes - self._used_bytes.get(connection, 0)
-        if not change:
-            return False
-        self.used_bytes += change
-        if used_bytes:
-            self._used_bytes[connection] = used_bytes
-        else:
-            del self._used_bytes[connection]
-        return change > 0 and self.is_short()
+    def change(self, added_bytes: int) -> None:
+        """Add to the memory that requests use, and read less from clients while it is short."""
+        self.used_bytes += added_bytes
+        self.read_buffer = self._short_buffer if self.is_short() else self._buffer
 
     def is_short(self) -> bool:
         """Return whether requests of clients use more than their share."""
@@ -54,15 +46,7 @@
         """Return whether requests still use so much that more partial requests should be rejected."""
         return self.used_bytes > RELIEF_RATIO * self.max_bytes
 
-    def read_buffer(self) -> memoryview:
-        """Return the buffer for the next read; its data is valid until then."""
-        self._last_buffer = self._short_buffer if self.is_short() else self._buffer
-        return self._last_buffer
-
-    def is_filled_by(self, nbytes: int) -> bool:
-        """Return whether the last read, of `nbytes`, filled its buffer, so that more data may be unread."""
-        return nbytes == len(self._last_buffer)
-
-    def copy_read(self, nbytes: int) -> bytes:
-        """Return a copy of the data of the last read."""
-        return bytes(self._buffer[:nbytes])
+    @staticmethod
+    def may_fill_buffer(nbytes: int) -> bool:
+        """Return whether a read of `nbytes` may have filled its buffer, so that more data may be unread."""
+        return nbytes in (READ_BYTES, SHORT_READ_BYTES)
--- a/moleport/node/connection_table.py
+++ b/moleport/node/connection_table.py
@@ -32,6 +32,8 @@
 MAX_LINGERING_SECONDS = 1.0  # time limit of a lingering close, in which client data is read and discarded
 # Fraction of all client slots that lingering connections may use, above which the oldest of them is aborted.
 MAX_LINGERING_RATIO = 0.1
+# Period of the search for partial requests to reject while memory is short: it visits many connections.
+MEMORY_CHECK_PERIOD_SECONDS = 0.02
 # While connections without a first complete request use more than IDLE_PROTECTION_RATIO of all client slots,
 # no idle connection is closed to free its slot.
 IDLE_PROTECTION_RATIO = 0.5
@@ -109,7 +111,7 @@
         self._idle: EntryTimes = {}
         self._reading: EntryTimes = {}
         self._lingering: EntryTimes = {}
-        self._is_freeing_memory = False
+        self._next_memory_check = 0.0  # loop time in s
 
     def has_free_slot(self) -> bool:
         """Return whether a further connection may be accepted."""
@@ -230,15 +232,15 @@
 
         A partial request that has been received for longest is the least likely to be completed.
         """
-        if self._is_freeing_memory:
+        now = self._loop.time()
+        if now < self._next_memory_check:
             return
-        self._is_freeing_memory = True
+        self._next_memory_check = now + MEMORY_CHECK_PERIOD_SECONDS
         for connection, _ in list(heapq.merge(self._new.items(), self._reading.items(), key=_entry_time)):
             if not self.memory.needs_relief():
                 break
             if connection.reject_partial_request():
                 self._telemetry.count(Event.CLIENT_MEMORY_FULL)
-        self._is_freeing_memory = False
 
     def _reclaim_idle(self) -> None:
         """Close the oldest idle connections above `MAX_IDLE_RATIO`, to leave slots to other clients."""
--- a/moleport/node/disconnect_detector.py
+++ b/moleport/node/disconnect_detector.py
@@ -18,19 +18,23 @@
     read yet.
     """
 
-    def __init__(self, transport: asyncio.Transport) -> None:
-        """Create a detector for a connection that is set up."""
+    def __init__(self) -> None:
+        """Create a detector for a connection that is not set up yet."""
         self.is_half_closed = False  # whether the client is known to have shut down its sending side
-        self._transport = transport
+        self._transport: asyncio.Transport | None = None
         self._peer_shutdown_poll = select.poll()
-        self._peer_shutdown_poll.register(self._descriptor(), select.POLLRDHUP)
         # Function that reports a half-close to the connection; None: the kernel is not polled.
         self._on_half_closed: Callable[[], None] | None = None
         self._poll_timer: asyncio.TimerHandle | None = None
 
+    def attach(self, transport: asyncio.Transport) -> None:
+        """Set the transport of the connection once it is set up."""
+        self._transport = transport
+        self._peer_shutdown_poll.register(self._descriptor(), select.POLLRDHUP)
+
     def has_disconnected(self) -> bool:
         """Return whether the client has half-closed or closed the connection, as the kernel reports it."""
-        if self.is_half_closed or self._transport.is_closing():
+        if self.is_half_closed or self._transport is None or self._transport.is_closing():
             return True
         self.is_half_closed = bool(self._peer_shutdown_poll.poll(0))
         return self.is_half_closed
@@ -61,10 +65,11 @@
 
     def _poll(self) -> None:
         self._poll_timer = None
-        if self._on_half_closed is None or self._transport.is_closing():
+        transport = self._transport
+        if self._on_half_closed is None or transport is None or transport.is_closing():
             return
         if is_reset(self._descriptor()):
-            self._transport.abort()
+            transport.abort()
             return
         if self.has_disconnected():
             self._on_half_closed()
@@ -72,5 +77,6 @@
         self._poll_timer = loop.call_later(POLL_PERIOD_SECONDS, self._poll)
 
     def _descriptor(self) -> int:
+        assert self._transport is not None
         descriptor: int = self._transport.get_extra_info("socket").fileno()
         return descriptor
--- a/moleport/node/receive_buffer.py
+++ b/moleport/node/receive_buffer.py
@@ -44,7 +44,3 @@
         """Discard all data."""
         self._chunks.clear()
         self.size_bytes = 0
-
-    def __bool__(self) -> bool:
-        """Return whether the buffer holds data."""
-        return bool(self._chunks)
--- a/moleport/node/request_parser.py
+++ b/moleport/node/request_parser.py
@@ -106,16 +106,16 @@
             self.error_status = HTTPStatus.BAD_REQUEST
         if self._partial is not None and not self.error_status:
             self._check_size(self._partial, len(data_slice))
-        self._limit_blank_data(len(data_slice))
+        if self._partial is None and not self.ready:
+            self._limit_blank_data(len(data_slice))
+        else:
+            self._blank_bytes = 0
         if self.error_status:
             self._unparsed.clear()
             self._partial = None
 
     def _limit_blank_data(self, added_bytes: int) -> None:
         """Limit data that starts no request; no time limit ends a connection on which it keeps arriving."""
-        if self._partial is not None or self.ready:
-            self._blank_bytes = 0
-            return
         self._blank_bytes += added_bytes
         if self._blank_bytes > MAX_BLANK_BYTES and not self.error_status:
             self.error_status = HTTPStatus.BAD_REQUEST
@@ -138,17 +138,19 @@
         elif not self._in_body and partial.size_bytes > MAX_HEAD_BYTES:
             self.error_status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 
-    def has_work(self) -> bool:
-        """Return whether there is a complete request, an error or data to parse."""
-        return bool(self.ready or self.error_status or self._unparsed)
-
     def has_partial_request(self) -> bool:
         """Return whether bytes of an incomplete or unparsed request have been received."""
-        return self._partial is not None or bool(self._unparsed)
+        return self._partial is not None or self._unparsed.size_bytes > 0
+
+    def has_begun_request(self) -> bool:
+        """Return whether an incomplete request is parsed in part."""
+        return self._partial is not None
 
     def memory_bytes(self) -> int:
         """Return the approximate memory, in bytes, of data and requests that are not taken from `ready`."""
         partial = self._partial
+        if partial is None and not self.ready:
+            return self._unparsed.size_bytes
         return (
             self._unparsed.size_bytes
             + REQUEST_OVERHEAD_BYTES * len(self.ready)
@@ -163,7 +165,7 @@
 
     def has_unparsed(self) -> bool:
         """Return whether received data is not parsed yet."""
-        return bool(self._unparsed)
+        return self._unparsed.size_bytes > 0
 
     def is_full(self) -> bool:
         """Return whether so much data is not parsed yet that no more should be read."""
--- a/tests/node/test_client_memory.py
+++ b/tests/node/test_client_memory.py
@@ -5,13 +5,13 @@
 import asyncio
 import socket
 from pathlib import Path
-from time import monotonic
+from time import monotonic, monotonic_ns
 
 import pytest
 from node_process import Program, program
 from rig import Rig, Server, configuration, never_respond, request, run, status, until
 
-from moleport.node.client_memory import CLIENT_MEMORY_RATIO, READ_BYTES
+from moleport.node.client_memory import CLIENT_MEMORY_RATIO, READ_BYTES, SHORT_READ_BYTES
 from moleport.telemetry import Event
 
 MEMORY_MB = 64
@@ -112,7 +112,7 @@
         async with Server("s-1", never_respond) as server, Rig(configuration(server)) as rig:
             rig.listener.table.memory.max_bytes = 1000
             clients = [await rig.client() for _ in range(2)]
-            clients[0].writer.write(request())
+            clients[0].writer.write(request(body=b"x" * 2000))
             await until(lambda: server.seen)
             rejection = await clients[1].exchange(request())
             assert (status(rejection), rejection.headers["retry-after"]) == (503, "1.500")
@@ -122,18 +122,24 @@
     run(test())
 
 
+def request_of(size_bytes: int) -> bytes:
+    """Return a request with a body, of exactly this size in all."""
+    candidates = (request(body=b"x" * length) for length in range(size_bytes - 200, size_bytes))
+    return next(candidate for candidate in candidates if len(candidate) == size_bytes)
+
+
 def test_a_large_read_does_not_shorten_the_deadline_of_later_requests() -> None:
     """Guards against an arrival time that outlives the data that it was taken for."""
 
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
             client = await rig.client()
-            data = request("order", body=b"x" * 60_000)
-            for _ in range(3):
-                client.writer.write(data.replace(b"X-Request-Id: ", b"X-Request-Id: a", 1))
-                assert status(await client.read()) == 200
+            await until(lambda: rig.listener.table.connections)
             (connection,) = rig.listener.table.connections
-            assert connection._arrival_time._earliest_unread_ns == 0
-            assert len(connection._memory.read_buffer()) == READ_BYTES
+            for size_bytes in (60_000, READ_BYTES, SHORT_READ_BYTES):
+                connection._arrival_time._earliest_unread_ns = monotonic_ns()
+                assert status(await client.exchange(request_of(size_bytes))) == 200
+                assert connection._arrival_time._earliest_unread_ns == 0
+            assert len(connection._memory.read_buffer) == READ_BYTES
 
     run(test())
--- a/tests/node/test_clients.py
+++ b/tests/node/test_clients.py
@@ -201,7 +201,7 @@
             await until(lambda: server.seen)
             client.writer.write_eof()
             (connection,) = rig.listener.table.connections
-            await until(lambda: connection._detector().is_half_closed)
+            await until(lambda: connection._disconnect_detector.is_half_closed)
             release.set()
             assert status(await client.read()) == 200
             assert await client.read_to_end() == b""
@@ -234,7 +234,9 @@
             await until(lambda: connection._is_paused is (pipelined_count == 800))
             await until(lambda: connection._parser.ready or connection._parser.has_unparsed())
             client.disconnect(how)
-            await until(lambda: connection._detector().is_half_closed or not rig.listener.table.connections)
+            await until(
+                lambda: connection._disconnect_detector.is_half_closed or not rig.listener.table.connections
+            )
             release.set()
             if how == "sending":
                 assert status(await client.read()) == 200
