Name the division of loop time in the words of schedulers

TurnQueue is ClientScheduler, its turns are time slices, as operating systems call them; new and continuing clients as in fq_codel. Behaviour is unchanged.

--- a/moleport/node/client_connection.py
+++ b/moleport/node/client_connection.py
@@ -70,7 +70,7 @@
         self._write_timer: asyncio.TimerHandle | None = None
         # Whether `_advance`, which processes the client's requests, is running; a nested call then returns.
         self._is_advancing = False
-        self._is_waiting_for_turn = False
+        self._is_scheduled = False
         self._is_paused = False
 
     # Callbacks by which the event loop reports data, writes and disconnections of the client.
@@ -161,8 +161,8 @@
             # A nested call of `_advance` returns, because the outer call processes the client's next request.
             return
         self._is_advancing = True
-        if not self._is_waiting_for_turn and self.has_work():
-            self._is_waiting_for_turn = self._context.turns.process(self)
+        if not self._is_scheduled and self.has_work():
+            self._is_scheduled = self._context.scheduler.process(self)
         self._is_advancing = False
         self._count_memory()
         if self._is_closing or transport.is_closing():
@@ -172,7 +172,7 @@
             self._update_reading(transport)
         if self._is_busy:
             return
-        if self._is_waiting_for_turn:
+        if self._is_scheduled:
             self._table.mark_reading(self)
         elif self._disconnect_detector.is_half_closed:
             self.close()
@@ -192,9 +192,9 @@
             if self._memory.is_short():
                 self._table.free_memory()
 
-    def take_turn(self) -> None:
-        """Process the client's data, for which this connection has waited in the turn queue."""
-        self._is_waiting_for_turn = False
+    def resume_processing(self) -> None:
+        """Process the client's data, which waited for a time slice of the event loop."""
+        self._is_scheduled = False
         try:
             self._advance()
         except Exception:
@@ -364,7 +364,7 @@
         transport = self._transport
         if transport is None or not self._parser.has_partial_request():
             return self.close_if_nothing_unread()
-        if self._is_waiting_for_turn or self._disconnect_detector.is_readable():
+        if self._is_scheduled or self._disconnect_detector.is_readable():
             return False
         self.reject_partial_request()
         self._context.dispatcher.telemetry.count(Event.CLIENT_TIMED_OUT)
--- a/tests/node/test_turn_queue.py
+++ b/tests/node/test_client_scheduler.py
@@ -1,4 +1,4 @@
-"""Tests of the turns of client connections: data of some clients does not delay the requests of others."""
+"""Tests of the time slices of clients: data of some clients does not delay the requests of others."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 from node_process import Program, program
 from rig import Rig, Server, configuration, request, run, status, until
 
-from moleport.node import turn_queue
-from moleport.node.turn_queue import ITERATION_BUDGET_NS, MAX_TURN_NS, TurnQueue
+from moleport.node import client_scheduler
+from moleport.node.client_scheduler import ITERATION_BUDGET_NS, TIME_SLICE_NS, ClientScheduler
 
 FLOOD_SECONDS = 2.0
 DEADLINE_MS = 300
@@ -96,7 +96,7 @@
 
 
 class Clock:
-    """Replaces the monotonic clock of the turn queue."""
+    """Replaces the monotonic clock of the scheduler."""
 
     def __init__(self) -> None:
         self.now_ns = 1
@@ -108,12 +108,14 @@
 class ScriptedClient:
     """A client with a number of steps to process, each of which takes `STEP_NS`."""
 
-    STEP_NS = MAX_TURN_NS // 2
+    STEP_NS = TIME_SLICE_NS // 2
 
-    def __init__(self, name: str, steps: int, turns: TurnQueue, clock: Clock, log: list[str]) -> None:
+    def __init__(
+        self, name: str, steps: int, scheduler: ClientScheduler, clock: Clock, log: list[str]
+    ) -> None:
         self.name = name
         self.steps = steps
-        self._turns = turns
+        self._scheduler = scheduler
         self._clock = clock
         self._log = log
 
@@ -125,22 +127,22 @@
         self._clock.now_ns += self.STEP_NS
         self._log.append(self.name)
 
-    def take_turn(self) -> None:
-        self._turns.process(self)
+    def resume_processing(self) -> None:
+        self._scheduler.process(self)
 
 
-def test_turns_leave_time_to_others_and_small_clients_go_first(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_time_slices_leave_time_to_others_and_small_clients_go_first(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an iteration without end, and against a small client that waits behind a large one."""
     clock = Clock()
-    monkeypatch.setattr(turn_queue, "monotonic_ns", clock)
+    monkeypatch.setattr(client_scheduler, "monotonic_ns", clock)
 
     async def test() -> None:
-        turns = TurnQueue()
+        scheduler = ClientScheduler()
         log: list[str] = []
         steps_per_iteration = ITERATION_BUDGET_NS // ScriptedClient.STEP_NS
-        large = ScriptedClient("large", 10 * steps_per_iteration, turns, clock, log)
-        large.take_turn()
-        assert log == ["large"] * 2  # one turn
+        large = ScriptedClient("large", 10 * steps_per_iteration, scheduler, clock, log)
+        large.resume_processing()
+        assert log == ["large"] * 2  # one time slice
         iteration_ends: list[int] = []
 
         async def observe() -> None:
@@ -151,11 +153,11 @@
         observer = asyncio.create_task(observe())
         await until(lambda: len(iteration_ends) > 2)
         log_length = len(log)
-        small = [ScriptedClient("small", 1, turns, clock, log) for _ in range(4)]
+        small = [ScriptedClient("small", 1, scheduler, clock, log) for _ in range(4)]
         for client in small:
-            client.take_turn()
+            client.resume_processing()
         await until(lambda: not any(client.steps for client in small))
-        # All small clients have a turn within the next iteration, behind one turn of the large client.
+        # All small clients have a time slice within the next iteration, behind one of the large client.
         assert [name for name in log[log_length:] if name == "small"] == ["small"] * 4
         assert len(log) - log_length <= 2 * steps_per_iteration
         await observer
@@ -165,30 +167,30 @@
     run(test())
 
 
-def test_a_turn_within_a_turn_waits_and_an_exception_ends_only_its_own_turn() -> None:
+def test_a_client_within_the_time_slice_of_another_waits_and_an_exception_stops_no_other() -> None:
     """Guards against recursion between clients, and against a fault of one that stops the others."""
 
     async def test() -> None:
-        turns = TurnQueue()
+        scheduler = ClientScheduler()
         log: list[str] = []
-        other = ScriptedClient("other", 1, turns, Clock(), log)
+        other = ScriptedClient("other", 1, scheduler, Clock(), log)
 
         class Failing(ScriptedClient):
             def process_next(self) -> None:
                 super().process_next()
-                assert turns.process(other)  # waits, as this turn is in progress
+                assert scheduler.process(other)  # waits, as this time slice is in progress
                 assert not other.steps or log == ["failing"]
                 raise ValueError(self.name)
 
         with pytest.raises(ValueError, match="failing"):
-            turns.process(Failing("failing", 1, turns, Clock(), log))
+            scheduler.process(Failing("failing", 1, scheduler, Clock(), log))
         await until(lambda: log == ["failing", "other"])
 
     run(test())
 
 
-def test_a_half_closed_client_gets_all_responses_although_its_turn_is_cut() -> None:
-    """Guards against a close of the connection while requests of a cut turn are not answered."""
+def test_a_half_closed_client_gets_all_responses_over_several_time_slices() -> None:
+    """Guards against a close of the connection while requests wait for another time slice."""
 
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
@@ -201,8 +203,8 @@
     run(test())
 
 
-def test_requests_wait_in_order_while_a_turn_is_cut() -> None:
-    """Guards against responses out of order, and against requests that a cut turn forgets."""
+def test_requests_keep_their_order_over_several_time_slices() -> None:
+    """Guards against responses out of order, and requests that are forgotten as a time slice ends."""
 
     async def test() -> None:
         async with Server("s-1") as server, Rig(configuration(server)) as rig:
