Give the client of discovery and the parser of its updates modules of their own

Cause: discovery_watch.py held three things, the connection of a watch, the client that opens watches, and the parser of updates in slices; the work on slow discovery changes the client alone.

Change: DiscoveryClient goes to discovery_client.py, the parser to update_parser.py as UpdateParser, and what a watch needs of its client is the protocol class WatchOwner. No behaviour changes. Tests follow the names.

--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -3,28 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import logging
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
-from moleport.config.endpoints import (
-    DiscoveredEndpoint,
-    DiscoveryUpdate,
-    EndpointListError,
-    parse_endpoints,
-    parse_update_header,
-)
-from moleport.node.error_codes import LOCAL_FAULTS, classify_error
 from moleport.node.hold_detector import MIN_HOLD_NS, HoldDetector
 from moleport.node.json_stream import JsonObjectSplitter
 
-log = logging.getLogger(__name__)
-
 # AGENT_RESPONSE_TIMEOUT_S and SHARED_RESPONSE_TIMEOUT_S limit the time from the opening of a discovery watch
 # to the headers of discovery's response. A discovery agent on the same machine responds at once. A discovery
 # service that all nodes share queues their requests, so its timeout is longer.
@@ -37,8 +23,6 @@
 FIRST_DATA_TIMEOUT_S = 2.5  # limit on the time from the opening of a discovery watch to its first data
 DATA_TIMEOUT_S = 3.0  # limit on the time between two receptions of data on a discovery watch
 MAX_UPDATE_BYTES = 4 << 20  # limit on the size of a discovery update; a longer update ends the watch
-# Number of entries of a discovery update that are parsed in one event loop iteration, in about 1 ms.
-SLICE_ENTRY_COUNT = 512
 
 
 class WatchEnd(Enum):
@@ -56,174 +40,33 @@
     """Discovery closed the watch, refused it or sent something other than valid updates."""
 
 
-@dataclass(slots=True, eq=False)
-class _PartialUpdate:
-    """An update whose entries are being parsed; the update is reported once all entries are valid."""
-
-    watch: WatchConnection
-    version: int
-    is_snapshot: bool
-    entries: list[object]
-    endpoints: list[DiscoveredEndpoint] = field(default_factory=list)
-
-
-class DiscoveryClient:
-    """Opens a watch on request, at most one at a time, and reports the end of each watch once."""
-
-    def __init__(
-        self,
-        address: tuple[str, int],
-        version: int,
-        on_update: Callable[[DiscoveryUpdate], None],
-        on_failed: Callable[[WatchEnd], None],
-        hold_detector: HoldDetector,
-        response_timeout_s: float = AGENT_RESPONSE_TIMEOUT_S,
-    ) -> None:
-        """Prepare for a watch of `address` (host, port); `open_watch` opens it on the running event loop.
-
-        The first watch requests the updates after `version`. `on_update` is called with each valid update,
-        `on_failed` once for each watch that ends in another way than by `close` or `change_address`. Its
-        argument tells what ended the watch.
-        """
-        self.response_timeout_s = response_timeout_s
-        self.hold_detector = hold_detector
-        self._address = address
-        self._version = version
-        self._on_update = on_update
-        self._on_failed = on_failed
-        self._watch: WatchConnection | None = None
-        self._connect_task: asyncio.Task[None] | None = None
-        self._partial_update: _PartialUpdate | None = None
-        self._loop = asyncio.get_running_loop()
-
-    def open_watch(self) -> None:
-        """Open a watch, unless one is open or being opened."""
-        if self._watch is not None:
-            return
-        self._watch = WatchConnection(self)
-        self._connect_task = self._loop.create_task(self._open(self._watch))
-
-    def change_address(self, address: tuple[str, int]) -> None:
-        """Close the watch and open one at another address (host, port), if the address has changed.
+class WatchOwner(Protocol):
+    """What a watch needs of the client that opened it."""
 
-        The end of the old watch is not reported. Version numbers are specific to an address, so the new
-        watch requests a snapshot.
-        """
-        if address == self._address:
-            return
-        self.finish_parsing()
-        self._address = address
-        self._version = 0
-        self.close()
-        self.open_watch()
-
-    def close(self) -> None:
-        """Close the watch without reporting its end, and discard an update that is not completely parsed."""
-        watch = self._watch
-        self._watch = None
-        self._partial_update = None
-        if self._connect_task is not None:
-            self._connect_task.cancel()
-            self._connect_task = None
-        if watch is not None:
-            watch.close()
+    hold_detector: HoldDetector
+    response_timeout_s: float
+    """Limit on the time from the opening of the watch to the headers of discovery's response."""
 
     def watch_request(self) -> bytes:
         """Return the HTTP request that opens a watch."""
-        host, port = self._address
-        target = f"/discovery/hosts?watch=1&from={self._version}"
-        return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
-
-    async def _open(self, watch: WatchConnection) -> None:
-        """Connect a watch to discovery; the watch ends if connecting fails."""
-        try:
-            await self._loop.create_connection(lambda: watch, *self._address)
-        except OSError as error:
-            is_local_fault = classify_error(error) in LOCAL_FAULTS
-            self.on_watch_ended(
-                watch,
-                WatchEnd.LOCAL_FAULT if is_local_fault else WatchEnd.NOT_CONNECTED,
-                f"connecting to discovery at {self._address} failed: {error!r}",
-            )
 
     def is_current(self, watch: WatchConnection) -> bool:
         """Return whether a watch has been neither closed nor replaced."""
-        return watch is self._watch
-
-    # Methods that process the updates of the endpoint list that a watch receives.
 
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
-        """Parse a JSON object that a watch has received; the watch ends if it is not a valid update."""
-        self.finish_parsing()
-        if watch is not self._watch:
-            return
-        try:
-            # A discovery update is decoded in one call, because `json` has no incremental decoder;
-            # MAX_UPDATE_BYTES limits the time of the call.
-            # The entries of the update are parsed in slices later.
-            version, is_snapshot, entries = parse_update_header(json.loads(text))
-            # A discovery update with an older version than the current one, even a snapshot, is rejected,
-            # because it would revert newer changes. If discovery has restarted its version count, the next
-            # watch, which requests a snapshot, accepts the update.
-            if version < self._version:
-                raise EndpointListError(
-                    f"update version {version} is older than the current version {self._version}"
-                )
-        except (ValueError, RecursionError, EndpointListError) as error:
-            self._reject_update(watch, error)
-            return
-        self._partial_update = _PartialUpdate(watch, version, is_snapshot, entries)
-        self._parse_slice()
-        if self._partial_update is not None:
-            self._loop.call_soon(self._continue_parsing, self._partial_update)
-
-    def _continue_parsing(self, update: _PartialUpdate) -> None:
-        """Parse one slice of an update in each loop iteration; requests are served between the slices."""
-        if update is self._partial_update:
-            self._parse_slice()
-        if update is self._partial_update:
-            self._loop.call_soon(self._continue_parsing, update)
+        """Process a JSON object that a watch has received."""
 
     def finish_parsing(self) -> None:
-        """Parse the rest of the current update at once, so that later events are reported after it."""
-        while self._partial_update is not None:
-            self._parse_slice()
-
-    def _parse_slice(self) -> None:
-        """Parse the next entries of the current update, and report the update after its last entry."""
-        update = self._partial_update
-        assert update is not None
-        begin = len(update.endpoints)
-        try:
-            update.endpoints += parse_endpoints(update.entries[begin : begin + SLICE_ENTRY_COUNT])
-        except EndpointListError as error:
-            self._reject_update(update.watch, error)
-            return
-        if len(update.endpoints) == len(update.entries):
-            self._partial_update = None
-            self._version = update.version
-            self._on_update(DiscoveryUpdate(update.version, update.is_snapshot, tuple(update.endpoints)))
-
-    def _reject_update(self, watch: WatchConnection, error: Exception) -> None:
-        """Discard an invalid update, and end its watch."""
-        self._partial_update = None
-        # The changes in a rejected discovery update are unknown, so the next watch requests a snapshot.
-        self._version = 0
-        self.on_watch_ended(watch, WatchEnd.ENDED_BY_DISCOVERY, f"invalid endpoint list update: {error}")
+        """Parse the rest of the current update at once."""
 
     def on_watch_ended(self, watch: WatchConnection, watch_end: WatchEnd, reason: str) -> None:
-        """Log and report the end of the current watch; calls for any other watch are ignored."""
-        if watch is not self._watch:
-            return
-        self.close()
-        log.warning("discovery watch ended: %s", reason)
-        self._on_failed(watch_end)
+        """Process the end of a watch."""
 
 
 class WatchConnection(asyncio.Protocol):
     """The connection of one watch, which splits the body of the response into JSON objects."""
 
-    def __init__(self, owner: DiscoveryClient) -> None:
+    def __init__(self, owner: WatchOwner) -> None:
         """Start the timeout for the response headers of the watch."""
         self._owner = owner
         self._transport: asyncio.Transport | None = None
--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -17,7 +17,8 @@
 from moleport.config.node_config import Config
 from moleport.node import discovery_watch
 from moleport.node.connection_pools import ConnectionPools
-from moleport.node.discovery_watch import DiscoveryClient, WatchEnd
+from moleport.node.discovery_client import DiscoveryClient
+from moleport.node.discovery_watch import WatchEnd
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.initial_list_wait import InitialListWait, WaitResult
 from moleport.node.name_hashing import hash_name
--- a/scale/lists.py
+++ b/scale/lists.py
@@ -22,7 +22,8 @@
 from moleport.config.endpoints import DiscoveredEndpoint, DiscoveryUpdate, parse_update
 from moleport.config.node_config import Config, load
 from moleport.node.connection_pools import ConnectionPools
-from moleport.node.discovery_watch import DiscoveryClient, WatchConnection
+from moleport.node.discovery_client import DiscoveryClient
+from moleport.node.discovery_watch import WatchConnection
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
 from moleport.node.node_factory import build_node
@@ -205,7 +206,10 @@
         started_at = perf_counter()
         agent.push(data)
         async with asyncio.timeout(TIMEOUT_SECONDS):
-            while node.endpoint_list.discovery._version < version or node.endpoint_list._pending_endpoints:
+            while (
+                node.endpoint_list.discovery._parser.version < version
+                or node.endpoint_list._pending_endpoints
+            ):
                 await asyncio.sleep(0)
         measurements[f"{name} applied"] = (perf_counter() - started_at) * 1e3
         measurements[name] = iterations.stop()
--- a/tests/node/test_discovery_reconnect.py
+++ b/tests/node/test_discovery_reconnect.py
@@ -11,6 +11,7 @@
 from rig import TEST_TIMEOUT_SECONDS, Discovery, Rig, Server, configuration, run, until
 
 from moleport.config.endpoints import DiscoveryUpdate, parse_address
+from moleport.node import discovery_client, update_parser
 from moleport.node import discovery_watch as discovery
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
@@ -231,12 +232,12 @@
 
     async def test() -> None:
         hold_detector = HoldDetector(Telemetry(trace=False))
-        client = discovery.DiscoveryClient(
+        client = discovery_client.DiscoveryClient(
             ("127.0.0.1", 1), 0, reported.append, lambda _: None, hold_detector
         )
         replaced = discovery.WatchConnection(client)
         current = client._watch = discovery.WatchConnection(client)
-        listed = entries(range(3 * discovery.SLICE_ENTRY_COUNT))
+        listed = entries(range(3 * update_parser.SLICE_ENTRY_COUNT))
         client.on_json_object(current, update_text(2, listed))
         replaced.connection_lost(None)
         assert not reported
--- a/tests/node/test_large_lists.py
+++ b/tests/node/test_large_lists.py
@@ -21,7 +21,7 @@
 from rig import Client, Discovery, Rig, Server, request, run, status, until
 
 from moleport.config.endpoints import DiscoveredEndpoint, parse_address
-from moleport.node import discovery_watch as discovery
+from moleport.node import update_parser
 from moleport.node.endpoint_list import SLICE_ENDPOINT_COUNT
 from moleport.policy import interface as api
 from moleport.policy.interface import EndpointUpdateKind
@@ -77,13 +77,13 @@
     """Parsing must not block the event loop for long either."""
     parsed_slices: list[tuple[int, int]] = []  # loop iteration, entries
     iteration = 0
-    parse_endpoints = discovery.parse_endpoints
+    parse_endpoints = update_parser.parse_endpoints
 
     def record_slice(parsed_entries: list[object]) -> list[DiscoveredEndpoint]:
         parsed_slices.append((iteration, len(parsed_entries)))
         return parse_endpoints(parsed_entries)
 
-    monkeypatch.setattr(discovery, "parse_endpoints", record_slice)
+    monkeypatch.setattr(update_parser, "parse_endpoints", record_slice)
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
@@ -102,7 +102,7 @@
 
     run(test())
     assert sum(count for _, count in parsed_slices) == MANY
-    assert max(count for _, count in parsed_slices) <= discovery.SLICE_ENTRY_COUNT
+    assert max(count for _, count in parsed_slices) <= update_parser.SLICE_ENTRY_COUNT
     assert len({number for number, _ in parsed_slices}) == len(parsed_slices)
 
 
