Report when the endpoint list may be outdated, and keep the limits of watches in one place

Change: ListFreshness logs and counts (endpoint_list_outdated, endpoint_list_current) when discovery has sent no data on any watch for 6 s, or for 4 s after a reload, and when it sends again. The time limits of watches stand in discovery_limits.py with what they add up to; the two that polling repeats by value come from there. The callbacks of DiscoveryClient become a protocol class. Tests that set the limits set them in their new module; a stand-in has one more method. No limit changes.

--- a/moleport/node/discovery_client.py
+++ b/moleport/node/discovery_client.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from typing import Protocol
 
 from moleport.config.endpoints import DiscoveryUpdate
-from moleport.node.discovery_watch import AGENT_RESPONSE_TIMEOUT_S, WatchConnection, WatchEnd
+from moleport.node.discovery_limits import AGENT_RESPONSE_TIMEOUT_S
+from moleport.node.discovery_watch import WatchConnection, WatchEnd
 from moleport.node.error_codes import LOCAL_FAULTS, classify_error
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.update_parser import UpdateParser
@@ -15,6 +16,19 @@
 log = logging.getLogger(__name__)
 
 
+class DiscoveryObserver(Protocol):
+    """What the client of discovery reports to."""
+
+    def on_update(self, update: DiscoveryUpdate) -> None:
+        """Process a valid update."""
+
+    def on_watch_failed(self, watch_end: WatchEnd) -> None:
+        """Process the end of a watch that the client did not close itself."""
+
+    def on_data(self) -> None:
+        """Process the sign that discovery responds: complete data, which may be an empty line."""
+
+
 class DiscoveryClient:
     """Opens a watch on request, at most one at a time, and reports the end of each watch once."""
 
@@ -22,23 +36,20 @@
         self,
         address: tuple[str, int],
         version: int,
-        on_update: Callable[[DiscoveryUpdate], None],
-        on_failed: Callable[[WatchEnd], None],
+        observer: DiscoveryObserver,
         hold_detector: HoldDetector,
         response_timeout_s: float = AGENT_RESPONSE_TIMEOUT_S,
     ) -> None:
         """Prepare for a watch of `address` (host, port); `open_watch` opens it on the running event loop.
 
-        The first watch requests the updates after `version`. `on_update` is called with each valid update,
-        `on_failed` once for each watch that ends in another way than by `close` or `change_address`. Its
-        argument tells what ended the watch.
+        The first watch requests the updates after `version`. The observer's `on_watch_failed` is called once
+        for each watch that ends in another way than by `close` or `change_address`.
         """
         self.response_timeout_s = response_timeout_s
         self.hold_detector = hold_detector
         self._address = address
         self._parser = UpdateParser(version, self._on_parsed, self._on_invalid_update)
-        self._on_update = on_update
-        self._on_failed = on_failed
+        self._observer = observer
         self._watch: WatchConnection | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._loop = asyncio.get_running_loop()
@@ -99,6 +110,11 @@
 
     # Methods that process the updates of the endpoint list that a watch receives.
 
+    def on_data(self, watch: WatchConnection) -> None:
+        """Report that a watch has received complete data."""
+        if self.is_current(watch):
+            self._observer.on_data()
+
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
         """Parse a JSON object that a watch has received; the watch ends if it is not a valid update."""
         self._parser.finish()
@@ -110,7 +126,7 @@
         self._parser.finish()
 
     def _on_parsed(self, _: WatchConnection, update: DiscoveryUpdate) -> None:
-        self._on_update(update)
+        self._observer.on_update(update)
 
     def _on_invalid_update(self, watch: WatchConnection, error: Exception) -> None:
         self.on_watch_ended(watch, WatchEnd.ENDED_BY_DISCOVERY, f"invalid endpoint list update: {error}")
@@ -121,4 +137,4 @@
             return
         self.close()
         log.warning("discovery watch ended: %s", reason)
-        self._on_failed(watch_end)
+        self._observer.on_watch_failed(watch_end)
--- /dev/null
+++ b/moleport/node/discovery_limits.py
@@ -0,0 +1,38 @@
+"""Time limits of the watches of discovery, and what they add up to.
+
+All times are in seconds. What discovery has to tell counts as notified `NOTIFICATION_LIMIT_S` after discovery
+could be reached, and after a reload `RELOAD_NOTIFICATION_LIMIT_S` after the signal. The longest waits for a
+change:
+
+- a watch falls silent: `DATA_TIMEOUT_S`, the backoff, and the time that discovery takes to respond;
+- discovery is reachable again: the response timeout of the watch opened last, the backoff, and the time that
+  discovery takes to respond;
+- the address changes: the time that discovery takes to respond.
+
+The backoff is that of `reconnect_backoff` where lists are pushed, and of `policy.discovery_polling`, which
+shares two limits with this module, where they are polled.
+"""
+
+from __future__ import annotations
+
+from moleport.policy.discovery_polling import POLL_TIMEOUT_NS, WATCH_SILENCE_NS
+from moleport.units import NS_PER_SECOND
+
+# Time after which a change of the endpoint list counts as notified, from when discovery could be reached.
+NOTIFICATION_LIMIT_S = 6.0
+# Time after which the list of a new discovery address counts as notified, from the reload.
+RELOAD_NOTIFICATION_LIMIT_S = 4.0
+
+# AGENT_RESPONSE_TIMEOUT_S and SHARED_RESPONSE_TIMEOUT_S limit the time from the opening of a discovery watch
+# to the headers of discovery's response. A discovery agent on the same machine responds at once. A discovery
+# service that all nodes share queues their requests, so its timeout is longer.
+AGENT_RESPONSE_TIMEOUT_S = 0.5
+SHARED_RESPONSE_TIMEOUT_S = POLL_TIMEOUT_NS / NS_PER_SECOND
+# Further time for the response headers of a discovery watch, if the node was held while it waited for them.
+HOLD_EXTENSION_S = 0.5
+# Discovery sends an empty line as soon as a watch opens, and then at least every 2 s.
+# White space between two JSON objects, such as an empty line, counts as data of the watch.
+FIRST_DATA_TIMEOUT_S = (
+    POLL_TIMEOUT_NS / NS_PER_SECOND
+)  # from the opening of a discovery watch to its first data
+DATA_TIMEOUT_S = WATCH_SILENCE_NS / NS_PER_SECOND  # between two receptions of data on a discovery watch
--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -8,20 +8,10 @@
 
 import httptools
 
+from moleport.node import discovery_limits
 from moleport.node.hold_detector import MIN_HOLD_NS, HoldDetector
 from moleport.node.json_stream import JsonObjectSplitter
 
-# AGENT_RESPONSE_TIMEOUT_S and SHARED_RESPONSE_TIMEOUT_S limit the time from the opening of a discovery watch
-# to the headers of discovery's response. A discovery agent on the same machine responds at once. A discovery
-# service that all nodes share queues their requests, so its timeout is longer.
-AGENT_RESPONSE_TIMEOUT_S = 0.5
-SHARED_RESPONSE_TIMEOUT_S = 2.5
-# Further time for the response headers of a discovery watch, if the node was held while it waited for them.
-HOLD_EXTENSION_S = 0.5
-# Discovery sends an empty line as soon as a watch opens, and then at least every 2 s.
-# White space between two JSON objects, such as an empty line, counts as data of the watch.
-FIRST_DATA_TIMEOUT_S = 2.5  # limit on the time from the opening of a discovery watch to its first data
-DATA_TIMEOUT_S = 3.0  # limit on the time between two receptions of data on a discovery watch
 MAX_UPDATE_BYTES = 4 << 20  # limit on the size of a discovery update; a longer update ends the watch
 
 
@@ -56,6 +46,9 @@
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
         """Process a JSON object that a watch has received."""
 
+    def on_data(self, watch: WatchConnection) -> None:
+        """Process the sign that a watch has received complete data, which may be an empty line."""
+
     def finish_parsing(self) -> None:
         """Parse the rest of the current update at once."""
 
@@ -106,7 +99,9 @@
         if hold_ns < MIN_HOLD_NS:
             self._end_without_response()
         else:
-            self._timeout = self._loop.call_later(HOLD_EXTENSION_S, self._end_without_response)
+            self._timeout = self._loop.call_later(
+                discovery_limits.HOLD_EXTENSION_S, self._end_without_response
+            )
 
     def _end_without_response(self) -> None:
         self._end_watch(WatchEnd.NO_RESPONSE, "no response headers from discovery in time")
@@ -159,7 +154,7 @@
             return
         status = self._parser.get_status_code()
         if status == 200:
-            self._set_data_deadline(self._opened_at + FIRST_DATA_TIMEOUT_S)
+            self._set_data_deadline(self._opened_at + discovery_limits.FIRST_DATA_TIMEOUT_S)
         elif status >= 200:
             self._end_watch(
                 WatchEnd.ENDED_BY_DISCOVERY, f"discovery responded with status {status}, expected 200"
@@ -171,7 +166,8 @@
         for text in objects:
             self._owner.on_json_object(self, text)
         if objects or self._splitter.is_between_objects():
-            self._set_data_deadline(self._loop.time() + DATA_TIMEOUT_S)
+            self._set_data_deadline(self._loop.time() + discovery_limits.DATA_TIMEOUT_S)
+            self._owner.on_data(self)
         if self._splitter.buffered_bytes() > MAX_UPDATE_BYTES:
             self._end_watch(
                 WatchEnd.ENDED_BY_DISCOVERY, f"endpoint list update exceeds {MAX_UPDATE_BYTES} bytes"
--- a/moleport/node/dispatcher.py
+++ b/moleport/node/dispatcher.py
@@ -86,7 +86,7 @@
             )
         log.info("discovery address of the new configuration is %s:%d", *config.discovery_address)
         self._config = with_new_address
-        self.endpoint_list.discovery.change_address(config.discovery_address)
+        self.endpoint_list.change_address(config.discovery_address)
 
     async def wait_until_endpoints_known(self) -> None:
         """Wait until discovery has sent its endpoint list, is unreachable or a time limit has passed."""
--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -15,12 +15,13 @@
 
 from moleport.config.endpoints import DiscoveredEndpoint, DiscoveryUpdate
 from moleport.config.node_config import Config
-from moleport.node import discovery_watch
+from moleport.node import discovery_limits
 from moleport.node.connection_pools import ConnectionPools
 from moleport.node.discovery_client import DiscoveryClient
 from moleport.node.discovery_watch import WatchEnd
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.initial_list_wait import InitialListWait, WaitResult
+from moleport.node.list_freshness import ListFreshness
 from moleport.node.name_hashing import hash_name
 from moleport.node.reconnect_backoff import ReconnectBackoff
 from moleport.node.server_start_times import ServerStartTimes
@@ -63,20 +64,21 @@
         self._resync_timer: asyncio.TimerHandle | None = None
         self._start_times = ServerStartTimes()
         self._initial_wait = InitialListWait()
+        self._freshness = ListFreshness(telemetry)
         self._backoff = ReconnectBackoff(config.seed, config.drain_grace_ns)
         self.discovery = DiscoveryClient(
             config.discovery_address,
             config.cached_endpoints.version,
-            self.on_update,
-            self._on_watch_failed,
+            self,
             hold_detector,
-            discovery_watch.AGENT_RESPONSE_TIMEOUT_S
+            discovery_limits.AGENT_RESPONSE_TIMEOUT_S
             if self._is_push_mode
-            else discovery_watch.SHARED_RESPONSE_TIMEOUT_S,
+            else discovery_limits.SHARED_RESPONSE_TIMEOUT_S,
         )
 
     def start(self) -> None:
         """Apply the endpoints of the configuration, and in push mode open the discovery watch."""
+        self._freshness.start()
         self._start_times.record(self._cached_endpoints, monotonic_ns())
         self._apply_update(EndpointUpdateKind.CACHED, self._cached_endpoints)
         if self._is_push_mode:
@@ -96,7 +98,16 @@
             self._telemetry.count(Event.INITIAL_LIST_MISSING, result=result.name)
             log.warning("the endpoint list of the configuration is used as it is: %s", result.value)
 
-    # Callbacks that the discovery client calls with endpoint updates and with the end of a watch.
+    def change_address(self, address: tuple[str, int]) -> None:
+        """Watch the list at another address of discovery (host, port)."""
+        self._freshness.on_address_changed()
+        self.discovery.change_address(address)
+
+    # Methods of `DiscoveryObserver`, which the discovery client calls.
+
+    def on_data(self) -> None:
+        """Record that discovery responds."""
+        self._freshness.on_data()
 
     def on_update(self, update: DiscoveryUpdate) -> None:
         """Apply an update from discovery, at once or in slices."""
@@ -108,7 +119,7 @@
         if not self._pending_endpoints:
             self._initial_wait.on_update_applied()
 
-    def _on_watch_failed(self, watch_end: WatchEnd) -> None:
+    def on_watch_failed(self, watch_end: WatchEnd) -> None:
         """In push mode open another watch after a backoff; in poll mode report the failure to the policy."""
         self._initial_wait.on_watch_ended(watch_end)
         self._telemetry.count(Event.WATCH_FAILED, end=watch_end.name)
--- a/moleport/node/initial_list_wait.py
+++ b/moleport/node/initial_list_wait.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from enum import Enum
 
-from moleport.node import discovery_watch
+from moleport.node import discovery_limits
 from moleport.node.discovery_watch import WatchEnd
 
 # Time for further watches, in addition to the time limit of one watch, before the node serves without an
@@ -71,7 +71,7 @@
         elif watch_end not in (WatchEnd.NOT_CONNECTED, WatchEnd.NO_RESPONSE):
             # A response shows that discovery is reachable, and a local fault shows nothing about discovery.
             self._unanswered_since = now
-        elif now - self._unanswered_since >= discovery_watch.AGENT_RESPONSE_TIMEOUT_S:
+        elif now - self._unanswered_since >= discovery_limits.AGENT_RESPONSE_TIMEOUT_S:
             self._end(WaitResult.UNREACHABLE)
 
     def _time_limit(self) -> float:
@@ -80,7 +80,7 @@
         An agent without newer changes sends empty lines only, so each watch has the time in which its first
         data is due. All watches together have `MAX_FURTHER_WATCHES_S` more.
         """
-        one_watch_s = discovery_watch.FIRST_DATA_TIMEOUT_S
+        one_watch_s = discovery_limits.FIRST_DATA_TIMEOUT_S
         return min(
             self._watch_started_at + one_watch_s, self._started_at + one_watch_s + MAX_FURTHER_WATCHES_S
         )
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -89,6 +89,11 @@
     """The event loop ran late, as in a process that was stopped for a while."""
     WATCH_FAILED = "watch_failed"
     """A watch or poll of the endpoint list failed; the trace contains what ended it."""
+    ENDPOINT_LIST_OUTDATED = "endpoint_list_outdated"
+    """Discovery has sent nothing for so long that the endpoint list may be outdated; the trace contains for
+    how long."""
+    ENDPOINT_LIST_CURRENT = "endpoint_list_current"
+    """Discovery has sent data again after the endpoint list had become outdated."""
     INITIAL_LIST_MISSING = "initial_list_missing"
     """The node began to serve before discovery had sent an endpoint list; the trace contains the reason."""
     RELOAD_APPLIED = "reload_applied"
--- a/scale/lists.py
+++ b/scale/lists.py
@@ -23,7 +23,7 @@
 from moleport.config.node_config import Config, load
 from moleport.node.connection_pools import ConnectionPools
 from moleport.node.discovery_client import DiscoveryClient
-from moleport.node.discovery_watch import WatchConnection
+from moleport.node.discovery_watch import WatchConnection, WatchEnd
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
 from moleport.node.node_factory import build_node
@@ -221,12 +221,28 @@
     return measurements
 
 
+class _UpdateCollector:
+    """An observer of discovery that keeps the updates."""
+
+    def __init__(self) -> None:
+        self.updates: list[DiscoveryUpdate] = []
+
+    def on_update(self, update: DiscoveryUpdate) -> None:
+        self.updates.append(update)
+
+    def on_watch_failed(self, watch_end: WatchEnd) -> None:
+        pass
+
+    def on_data(self) -> None:
+        pass
+
+
 async def snapshot_cpu_ms(size: int) -> float:
     """Return the processor time from a snapshot's bytes to its entries, in ms."""
     data = update_text(2, True, range(size))
-    updates: list[DiscoveryUpdate] = []
+    observer = _UpdateCollector()
     hold_detector = HoldDetector(Telemetry(trace=False))
-    discovery = DiscoveryClient(("127.0.0.1", 1), 0, updates.append, lambda _: None, hold_detector)
+    discovery = DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector)
     discovery._watch = watch = WatchConnection(discovery)
     started_at = thread_time()
     for begin in range(0, len(data), READ_BYTES):
@@ -234,7 +250,7 @@
     discovery.finish_parsing()
     cpu_seconds = thread_time() - started_at
     discovery.close()
-    assert len(updates[0].endpoints) == size
+    assert len(observer.updates[0].endpoints) == size
     return cpu_seconds * 1e3
 
 
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 from rig import Discovery, Rig, Server, configuration, request, run, until
 
-from moleport.node import discovery_watch as discovery
+from moleport.node import discovery_limits
 from moleport.node.name_hashing import hash_name
 from moleport.policy.interface import EndpointState, EndpointUpdateKind
 
@@ -109,9 +109,9 @@
 ) -> None:
     """A watch ends without data, and also if its data never completes a line."""
     for name in ("AGENT_RESPONSE_TIMEOUT_S", "FIRST_DATA_TIMEOUT_S", "DATA_TIMEOUT_S"):
-        monkeypatch.setattr(discovery, name, 0.3)
+        monkeypatch.setattr(discovery_limits, name, 0.3)
     monkeypatch.setattr(
-        discovery, "AGENT_RESPONSE_TIMEOUT_S" if fault == "silent" else "FIRST_DATA_TIMEOUT_S", 0.1
+        discovery_limits, "AGENT_RESPONSE_TIMEOUT_S" if fault == "silent" else "FIRST_DATA_TIMEOUT_S", 0.1
     )
 
     async def test() -> None:
@@ -140,7 +140,7 @@
 
 def test_a_watch_that_receives_lines_in_time_remains_open(monkeypatch: pytest.MonkeyPatch) -> None:
     """Empty lines are sufficient."""
-    monkeypatch.setattr(discovery, "DATA_TIMEOUT_S", 1.5)
+    monkeypatch.setattr(discovery_limits, "DATA_TIMEOUT_S", 1.5)
 
     async def test() -> None:
         async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
@@ -254,7 +254,7 @@
 def test_the_end_of_a_watch_is_reported_once(cause: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Each watch is reported once, regardless of the cause of its end."""
     if cause == "silence":
-        monkeypatch.setattr(discovery, "FIRST_DATA_TIMEOUT_S", 0.05)
+        monkeypatch.setattr(discovery_limits, "FIRST_DATA_TIMEOUT_S", 0.05)
 
     async def test() -> None:
         async with Discovery() as source:
--- a/tests/node/test_discovery_reconnect.py
+++ b/tests/node/test_discovery_reconnect.py
@@ -5,13 +5,14 @@
 import asyncio
 import json
 from dataclasses import replace
+from unittest.mock import Mock
 
 import pytest
 from endpoint_entries import entries, update_text
 from rig import TEST_TIMEOUT_SECONDS, Discovery, Rig, Server, configuration, run, until
 
 from moleport.config.endpoints import DiscoveryUpdate, parse_address
-from moleport.node import discovery_client, update_parser
+from moleport.node import discovery_client, discovery_limits, update_parser
 from moleport.node import discovery_watch as discovery
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
@@ -56,14 +57,14 @@
     max_delay_s = MAX_DRAIN_GRACE_FRACTION * drain_grace_s
     assert max_delay_s <= MIN_DELAY_SECONDS * 2**MAX_DOUBLINGS
     # Discovery sends an empty line at least every 2 s.
-    assert min(discovery.DATA_TIMEOUT_S, discovery.FIRST_DATA_TIMEOUT_S) > 2.0
-    next_watch_s = MIN_DELAY_SECONDS + discovery.FIRST_DATA_TIMEOUT_S + 2 * MIN_DELAY_SECONDS
-    assert discovery.DATA_TIMEOUT_S + next_watch_s < delivery_limit_s
+    assert min(discovery_limits.DATA_TIMEOUT_S, discovery_limits.FIRST_DATA_TIMEOUT_S) > 2.0
+    next_watch_s = MIN_DELAY_SECONDS + discovery_limits.FIRST_DATA_TIMEOUT_S + 2 * MIN_DELAY_SECONDS
+    assert discovery_limits.DATA_TIMEOUT_S + next_watch_s < delivery_limit_s
     assert (
-        discovery.FIRST_DATA_TIMEOUT_S
+        discovery_limits.FIRST_DATA_TIMEOUT_S
         + max_delay_s
-        + discovery.AGENT_RESPONSE_TIMEOUT_S
-        + discovery.HOLD_EXTENSION_S
+        + discovery_limits.AGENT_RESPONSE_TIMEOUT_S
+        + discovery_limits.HOLD_EXTENSION_S
         < delivery_limit_after_sighup_s
     )
     assert max_delay_s < drain_grace_s  # an agent that is reachable again sends its updates at once
@@ -73,7 +74,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A discovery service that all nodes share queues their requests, unlike an agent on the same machine."""
-    monkeypatch.setattr(discovery, "AGENT_RESPONSE_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(discovery_limits, "AGENT_RESPONSE_TIMEOUT_S", 0.05)
 
     async def test() -> None:
         async with Discovery() as source, Rig(configuration(discovery=source.address)) as rig:
@@ -130,9 +131,9 @@
 
 def test_the_policy_assumes_the_timeouts_of_the_watch() -> None:
     """The policy derives its polling delays from the longest request and the longest silence of a watch."""
-    longest_call_s = max(discovery.SHARED_RESPONSE_TIMEOUT_S, discovery.FIRST_DATA_TIMEOUT_S)
+    longest_call_s = max(discovery_limits.SHARED_RESPONSE_TIMEOUT_S, discovery_limits.FIRST_DATA_TIMEOUT_S)
     assert longest_call_s * 1e9 <= discovery_polling.POLL_TIMEOUT_NS
-    assert discovery.DATA_TIMEOUT_S * 1e9 <= discovery_polling.WATCH_SILENCE_NS
+    assert discovery_limits.DATA_TIMEOUT_S * 1e9 <= discovery_polling.WATCH_SILENCE_NS
     assert (
         discovery_polling.WATCH_SILENCE_NS
         + discovery_polling.MIN_BACKOFF_NS
@@ -232,9 +233,8 @@
 
     async def test() -> None:
         hold_detector = HoldDetector(Telemetry(trace=False))
-        client = discovery_client.DiscoveryClient(
-            ("127.0.0.1", 1), 0, reported.append, lambda _: None, hold_detector
-        )
+        observer = Mock(on_update=reported.append)
+        client = discovery_client.DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector)
         replaced = discovery.WatchConnection(client)
         current = client._watch = discovery.WatchConnection(client)
         listed = entries(range(3 * update_parser.SLICE_ENTRY_COUNT))
--- a/tests/node/test_initial_list_wait.py
+++ b/tests/node/test_initial_list_wait.py
@@ -27,7 +27,7 @@
 )
 from rig import status as status_of
 
-from moleport.node import discovery_watch
+from moleport.node import discovery_limits
 from moleport.node.discovery_watch import WatchEnd
 from moleport.node.initial_list_wait import MAX_FURTHER_WATCHES_S, InitialListWait, WaitResult
 from moleport.node.name_hashing import hash_name
@@ -165,8 +165,8 @@
     watch_end: WatchEnd, result: WaitResult, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against taking a local fault or an ended watch for an unreachable discovery."""
-    monkeypatch.setattr(discovery_watch, "AGENT_RESPONSE_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(discovery_watch, "FIRST_DATA_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(discovery_limits, "AGENT_RESPONSE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(discovery_limits, "FIRST_DATA_TIMEOUT_S", 0.3)
     monkeypatch.setattr("moleport.node.initial_list_wait.MAX_FURTHER_WATCHES_S", 0.2)
 
     async def test() -> None:
@@ -179,7 +179,7 @@
                 wait.on_watch_ended(watch_end)
             assert await ended is result
 
-    assert MAX_FURTHER_WATCHES_S > discovery_watch.AGENT_RESPONSE_TIMEOUT_S
+    assert MAX_FURTHER_WATCHES_S > discovery_limits.AGENT_RESPONSE_TIMEOUT_S
     run(test())
 
 
@@ -196,7 +196,7 @@
             async with Rig(document) as rig:
                 while held_step == "responding" and not agent.targets:
                     await asyncio.sleep(0)
-                time.sleep(discovery_watch.AGENT_RESPONSE_TIMEOUT_S + 0.1)
+                time.sleep(discovery_limits.AGENT_RESPONSE_TIMEOUT_S + 0.1)
                 await rig.node.wait_until_endpoints_known()
                 assert rig.node._ready_endpoint_ids == {hash_name("s-2")}
 
--- a/tests/node/test_json_stream.py
+++ b/tests/node/test_json_stream.py
@@ -32,6 +32,9 @@
         def on_json_object(self, _: discovery.WatchConnection, data: bytes) -> None:
             self.seen.append(json.loads(data))
 
+        def on_data(self, _: discovery.WatchConnection) -> None:
+            pass
+
         def is_current(self, _: discovery.WatchConnection) -> bool:
             return False
 
--- a/tests/node/test_process.py
+++ b/tests/node/test_process.py
@@ -52,8 +52,8 @@
 )
 # Runs the node with longer timeouts for the agent.
 PATIENT_DISCOVERY_CODE = (
-    "import sys, moleport.__main__ as program, moleport.node.discovery_watch as discovery;"
-    "discovery.AGENT_RESPONSE_TIMEOUT_S = discovery.FIRST_DATA_TIMEOUT_S = 60.0; sys.exit(program.main())"
+    "import sys, moleport.__main__ as program, moleport.node.discovery_limits as limits;"
+    "limits.AGENT_RESPONSE_TIMEOUT_S = limits.FIRST_DATA_TIMEOUT_S = 60.0; sys.exit(program.main())"
 )
 
 
