Keep a watch of discovery open that gets its response late, and open another beside it

Discovery answers each watch 1 s after its request.

Cause: the response timeout (0.5 s for an agent, 2.5 s for a polled service) both noticed a discovery that is gone and threw away one that is slow. DiscoveryClient had one watch; it ended at the timeout, and the next one began from nothing with the same timeout, for ever.

Change: at its timeout a watch is overdue. Its failure is reported, so that another one is opened after the same backoff as before, but it stays open, for 30 s or until a watch receives complete data; that one replaces all others. At most 8 are open (3 where lists are polled); beyond that the second oldest is given up, so that the oldest hears also a discovery that always takes longer. A discovery that is down costs as many calls as before. WatchEnd becomes WatchFailure, since a watch may fail without an end.

Tests that reached into the one watch use the list of watches.

--- a/moleport/node/discovery_client.py
+++ b/moleport/node/discovery_client.py
@@ -4,33 +4,53 @@
 
 import asyncio
 import logging
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from moleport.config.endpoints import DiscoveryUpdate
-from moleport.node.discovery_limits import AGENT_RESPONSE_TIMEOUT_S
-from moleport.node.discovery_watch import WatchConnection, WatchEnd
+from moleport.node import discovery_limits
+from moleport.node.discovery_watch import WatchConnection, WatchFailure
 from moleport.node.error_codes import LOCAL_FAULTS, classify_error
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.update_parser import UpdateParser
+from moleport.policy.interface import DiscoveryMode
 
 log = logging.getLogger(__name__)
 
 
+class WatchLimits(NamedTuple):
+    """The limits of watches that depend on who serves discovery."""
+
+    response_timeout_s: float
+    """Time from the opening of a watch until it is overdue without response headers."""
+    max_open_watches: int
+
+    @classmethod
+    def of_mode(cls, mode: DiscoveryMode) -> WatchLimits:
+        """Return the limits of an agent, which pushes lists, or of a shared service, which is polled."""
+        if mode is DiscoveryMode.PUSH:
+            return cls(discovery_limits.AGENT_RESPONSE_TIMEOUT_S, discovery_limits.AGENT_MAX_OPEN_WATCHES)
+        return cls(discovery_limits.SHARED_RESPONSE_TIMEOUT_S, discovery_limits.SHARED_MAX_OPEN_WATCHES)
+
+
 class DiscoveryObserver(Protocol):
     """What the client of discovery reports to."""
 
     def on_update(self, update: DiscoveryUpdate) -> None:
         """Process a valid update."""
 
-    def on_watch_failed(self, watch_end: WatchEnd) -> None:
-        """Process the end of a watch that the client did not close itself."""
+    def on_watch_failed(self, failure: WatchFailure) -> None:
+        """Process the failure of a watch, after which another one should be opened."""
 
     def on_data(self) -> None:
         """Process the sign that discovery responds: complete data, which may be an empty line."""
 
 
 class DiscoveryClient:
-    """Opens a watch on request, at most one at a time, and reports the end of each watch once."""
+    """Opens watches on request, and reports their updates and failures.
+
+    A watch is opened only if all open ones are overdue. The first watch that receives complete data replaces
+    all others.
+    """
 
     def __init__(
         self,
@@ -38,33 +58,44 @@
         version: int,
         observer: DiscoveryObserver,
         hold_detector: HoldDetector,
-        response_timeout_s: float = AGENT_RESPONSE_TIMEOUT_S,
+        limits: WatchLimits,
     ) -> None:
-        """Prepare for a watch of `address` (host, port); `open_watch` opens it on the running event loop.
+        """Prepare for watches of `address` (host, port); `open_watch` opens one on the running event loop.
 
-        The first watch requests the updates after `version`. The observer's `on_watch_failed` is called once
-        for each watch that ends in another way than by `close` or `change_address`.
+        The first watch requests the updates after `version`. The observer's `on_watch_failed` is called when
+        a watch becomes overdue, and when one that is not overdue ends without being closed by the client.
         """
-        self.response_timeout_s = response_timeout_s
+        self.response_timeout_s = limits.response_timeout_s
         self.hold_detector = hold_detector
+        self._max_open_watches = limits.max_open_watches
         self._address = address
         self._parser = UpdateParser(version, self._on_parsed, self._on_invalid_update)
         self._observer = observer
-        self._watch: WatchConnection | None = None
-        self._connect_task: asyncio.Task[None] | None = None
+        self._watches: list[WatchConnection] = []  # open watches, the oldest first
         self._loop = asyncio.get_running_loop()
 
     def open_watch(self) -> None:
-        """Open a watch, unless one is open or being opened."""
-        if self._watch is not None:
+        """Open a watch, unless one that is not overdue is open or being opened."""
+        if any(not watch.is_overdue for watch in self._watches):
             return
-        self._watch = WatchConnection(self)
-        self._connect_task = self._loop.create_task(self._open(self._watch))
+        if len(self._watches) >= self._max_open_watches:
+            self._give_up_second_oldest()
+        watch = WatchConnection(self)
+        self._watches.append(watch)
+        watch.connect_task = self._loop.create_task(self._connect(watch))
+
+    def _give_up_second_oldest(self) -> None:
+        """Close an overdue watch to make room for another one.
+
+        The oldest watch stays, so that a discovery that always takes longer than all others have is heard.
+        """
+        log.warning("an overdue discovery watch is given up, as %d are open", len(self._watches))
+        self._close_watch(self._watches[1])
 
     def change_address(self, address: tuple[str, int]) -> None:
-        """Close the watch and open one at another address (host, port), if the address has changed.
+        """Close all watches and open one at another address (host, port), if the address has changed.
 
-        The end of the old watch is not reported. Version numbers are specific to an address, so the new
+        The end of the old watches is not reported. Version numbers are specific to an address, so the new
         watch requests a snapshot.
         """
         if address == self._address:
@@ -76,15 +107,19 @@
         self.open_watch()
 
     def close(self) -> None:
-        """Close the watch without reporting its end, and discard an update that is not completely parsed."""
-        watch = self._watch
-        self._watch = None
+        """Close all watches without reporting it, and discard an update that is not completely parsed."""
         self._parser.discard()
-        if self._connect_task is not None:
-            self._connect_task.cancel()
-            self._connect_task = None
-        if watch is not None:
-            watch.close()
+        for watch in tuple(self._watches):
+            self._close_watch(watch)
+
+    def _close_watch(self, watch: WatchConnection) -> None:
+        self._watches.remove(watch)
+        watch.close()
+
+    def _close_others(self, current: WatchConnection) -> None:
+        for watch in tuple(self._watches):
+            if watch is not current:
+                self._close_watch(watch)
 
     def watch_request(self) -> bytes:
         """Return the HTTP request that opens a watch."""
@@ -92,49 +127,64 @@
         target = f"/discovery/hosts?watch=1&from={self._parser.version}"
         return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
 
-    async def _open(self, watch: WatchConnection) -> None:
+    async def _connect(self, watch: WatchConnection) -> None:
         """Connect a watch to discovery; the watch ends if connecting fails."""
         try:
             await self._loop.create_connection(lambda: watch, *self._address)
         except OSError as error:
             is_local_fault = classify_error(error) in LOCAL_FAULTS
-            self.on_watch_ended(
+            watch.connect_task = None
+            self.on_ended(
                 watch,
-                WatchEnd.LOCAL_FAULT if is_local_fault else WatchEnd.NOT_CONNECTED,
+                WatchFailure.LOCAL_FAULT if is_local_fault else WatchFailure.NOT_CONNECTED,
                 f"connecting to discovery at {self._address} failed: {error!r}",
             )
 
-    def is_current(self, watch: WatchConnection) -> bool:
-        """Return whether a watch has been neither closed nor replaced."""
-        return watch is self._watch
+    # Methods of `WatchOwner`, which the watches call.
 
-    # Methods that process the updates of the endpoint list that a watch receives.
-
-    def on_data(self, watch: WatchConnection) -> None:
-        """Report that a watch has received complete data."""
-        if self.is_current(watch):
-            self._observer.on_data()
+    def is_open(self, watch: WatchConnection) -> bool:
+        """Return whether a watch has not been closed."""
+        return watch in self._watches
 
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
         """Parse a JSON object that a watch has received; the watch ends if it is not a valid update."""
         self._parser.finish()
-        if watch is self._watch:
+        if self.is_open(watch):
             self._parser.parse(watch, text)
 
-    def finish_parsing(self) -> None:
-        """Parse the rest of the current update at once, so that later events are reported after it."""
-        self._parser.finish()
+    def on_data(self, watch: WatchConnection) -> None:
+        """Report that discovery responds, and keep only the watch that has received complete data."""
+        if self.is_open(watch):
+            self._close_others(watch)
+            self._observer.on_data()
+
+    def on_overdue(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
+        """Log and report the failure of a watch that stays open."""
+        log.warning("discovery watch is overdue and stays open: %s", reason)
+        self._observer.on_watch_failed(failure)
+
+    def on_ended(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
+        """Log the end of a watch, and report it unless the watch is overdue, which has been reported.
+
+        The update that the watch has received last is parsed first.
+        """
+        if not self.is_open(watch):
+            return
+        try:
+            self._parser.finish(watch)
+        finally:
+            if self.is_open(watch):
+                self._close_watch(watch)
+                log.warning("discovery watch ended: %s", reason)
+                if not watch.is_overdue:
+                    self._observer.on_watch_failed(failure)
+
+    # Callbacks of the parser of updates.
 
     def _on_parsed(self, _: WatchConnection, update: DiscoveryUpdate) -> None:
         self._observer.on_update(update)
 
     def _on_invalid_update(self, watch: WatchConnection, error: Exception) -> None:
-        self.on_watch_ended(watch, WatchEnd.ENDED_BY_DISCOVERY, f"invalid endpoint list update: {error}")
-
-    def on_watch_ended(self, watch: WatchConnection, watch_end: WatchEnd, reason: str) -> None:
-        """Log and report the end of the current watch; calls for any other watch are ignored."""
-        if watch is not self._watch:
-            return
-        self.close()
-        log.warning("discovery watch ended: %s", reason)
-        self._observer.on_watch_failed(watch_end)
+        """End all watches: those that were opened before the invalid update did not request a snapshot."""
+        self._close_others(watch)
+        self.on_ended(watch, WatchFailure.ENDED_BY_DISCOVERY, f"invalid endpoint list update: {error}")
--- a/moleport/node/discovery_limits.py
+++ b/moleport/node/discovery_limits.py
@@ -9,6 +9,10 @@
   discovery takes to respond;
 - the address changes: the time that discovery takes to respond.
 
+A timeout without a response does not end a watch, but makes it overdue: another one is opened, as discovery
+may be reachable again, and the overdue one stays open, as discovery may be slow. So the time that discovery
+may take is bounded by the sums above and `OVERDUE_PATIENCE_S`, not by a timeout.
+
 The backoff is that of `reconnect_backoff` where lists are pushed, and of `policy.discovery_polling`, which
 shares two limits with this module, where they are polled.
 """
@@ -32,7 +36,11 @@
 HOLD_EXTENSION_S = 0.5
 # Discovery sends an empty line as soon as a watch opens, and then at least every 2 s.
 # White space between two JSON objects, such as an empty line, counts as data of the watch.
-FIRST_DATA_TIMEOUT_S = (
-    POLL_TIMEOUT_NS / NS_PER_SECOND
-)  # from the opening of a discovery watch to its first data
-DATA_TIMEOUT_S = WATCH_SILENCE_NS / NS_PER_SECOND  # between two receptions of data on a discovery watch
+FIRST_DATA_TIMEOUT_S = POLL_TIMEOUT_NS / NS_PER_SECOND  # from the opening of a watch to its first data
+DATA_TIMEOUT_S = WATCH_SILENCE_NS / NS_PER_SECOND  # between two receptions of data on a watch
+# Limits on the watches that one node has open at once, for an agent and for a service that all nodes share.
+# Their descriptors are part of the reserve of the node.
+AGENT_MAX_OPEN_WATCHES = 8
+SHARED_MAX_OPEN_WATCHES = 3
+# Time for which an overdue watch stays open; if too many are open, only the oldest has this time.
+OVERDUE_PATIENCE_S = 30.0
--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -15,19 +15,19 @@
 MAX_UPDATE_BYTES = 4 << 20  # limit on the size of a discovery update; a longer update ends the watch
 
 
-class WatchEnd(Enum):
-    """What ended a discovery watch."""
+class WatchFailure(Enum):
+    """Why a discovery watch has failed; an overdue watch may still deliver updates."""
 
     LOCAL_FAULT = auto()
     """The watch could not connect, through a fault of the node's own machine."""
     NOT_CONNECTED = auto()
     """The watch could not connect to discovery."""
     NO_RESPONSE = auto()
-    """Discovery sent no response headers in time."""
+    """Discovery sent no response headers in time; the watch is overdue."""
     SILENT = auto()
     """Discovery sent response headers, and then no complete data in time."""
     ENDED_BY_DISCOVERY = auto()
-    """Discovery closed the watch, refused it or sent something other than valid updates."""
+    """Discovery closed the watch, rejected it or sent something other than valid updates."""
 
 
 class WatchOwner(Protocol):
@@ -40,8 +40,8 @@
     def watch_request(self) -> bytes:
         """Return the HTTP request that opens a watch."""
 
-    def is_current(self, watch: WatchConnection) -> bool:
-        """Return whether a watch has been neither closed nor replaced."""
+    def is_open(self, watch: WatchConnection) -> bool:
+        """Return whether a watch has not been closed."""
 
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
         """Process a JSON object that a watch has received."""
@@ -49,18 +49,24 @@
     def on_data(self, watch: WatchConnection) -> None:
         """Process the sign that a watch has received complete data, which may be an empty line."""
 
-    def finish_parsing(self) -> None:
-        """Parse the rest of the current update at once."""
+    def on_overdue(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
+        """Process the failure of a watch that stays open."""
 
-    def on_watch_ended(self, watch: WatchConnection, watch_end: WatchEnd, reason: str) -> None:
+    def on_ended(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
         """Process the end of a watch."""
 
 
 class WatchConnection(asyncio.Protocol):
-    """The connection of one watch, which splits the body of the response into JSON objects."""
+    """The connection of one watch, which splits the body of the response into JSON objects.
+
+    Discovery may fail without closing the connection, or may only be slow. A watch without a response in time
+    is therefore overdue: its failure is reported, and it stays open.
+    """
 
     def __init__(self, owner: WatchOwner) -> None:
         """Start the timeout for the response headers of the watch."""
+        self.is_overdue = False
+        self.connect_task: asyncio.Task[None] | None = None
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         # Parser of discovery's response to the watch; None unless the connection is open.
@@ -76,46 +82,49 @@
     def close(self) -> None:
         """Close the connection of the watch without reporting the end of the watch."""
         self._timeout.cancel()
+        if self.connect_task is not None:
+            self.connect_task.cancel()
         # The watch drops its HTTP parser, which refers to the watch, to break the reference cycle.
         self._parser = None
         if self._transport is not None:
             self._transport.abort()
 
-    def _end_watch(self, watch_end: WatchEnd, reason: str) -> None:
-        """Finish parsing the current update, report the end of the watch, and close the connection."""
-        if self._owner.is_current(self):
-            try:
-                self._owner.finish_parsing()
-            finally:
-                self._owner.on_watch_ended(self, watch_end, reason)
+    def _end_watch(self, failure: WatchFailure, reason: str) -> None:
+        """Report the end of the watch, and close the connection."""
+        self._owner.on_ended(self, failure, reason)
         self.close()
 
     def _on_response_timeout(self) -> None:
-        """End the watch, which has no response headers, or extend its timeout once after a hold.
+        """Report that the watch has no response headers, or extend its timeout once after a hold.
 
         In a hold, the node neither finished connecting nor read a response that had arrived.
         """
         hold_ns = self._owner.hold_detector.total_hold_ns() - self._hold_at_opening_ns
         if hold_ns < MIN_HOLD_NS:
-            self._end_without_response()
+            self._on_no_response()
         else:
-            self._timeout = self._loop.call_later(
-                discovery_limits.HOLD_EXTENSION_S, self._end_without_response
-            )
+            self._timeout = self._loop.call_later(discovery_limits.HOLD_EXTENSION_S, self._on_no_response)
 
-    def _end_without_response(self) -> None:
-        self._end_watch(WatchEnd.NO_RESPONSE, "no response headers from discovery in time")
+    def _on_no_response(self) -> None:
+        self._become_overdue(WatchFailure.NO_RESPONSE, "no response headers from discovery in time")
+
+    def _become_overdue(self, failure: WatchFailure, reason: str) -> None:
+        """Report the failure, and wait for discovery for a longer time."""
+        self.is_overdue = True
+        self._timeout = self._loop.call_later(
+            discovery_limits.OVERDUE_PATIENCE_S, self._end_watch, failure, "discovery has never responded"
+        )
+        self._owner.on_overdue(self, failure, reason)
 
     def _set_data_deadline(self, deadline: float) -> None:
         """End the watch at `deadline`, in seconds of the loop's clock, unless a later call replaces it.
 
-        Discovery may fail without closing the connection. Data that completes a JSON object, or that ends
-        between two objects, extends the deadline.
+        Data that completes a JSON object, or that ends between two objects, extends the deadline.
         """
         self._timeout.cancel()
-        if self._owner.is_current(self):
+        if self._owner.is_open(self):
             self._timeout = self._loop.call_at(
-                deadline, self._end_watch, WatchEnd.SILENT, "no data from discovery in time"
+                deadline, self._end_watch, WatchFailure.SILENT, "no data from discovery in time"
             )
 
     # Methods of `asyncio.Protocol`, which the event loop calls for the connection of a watch.
@@ -125,7 +134,7 @@
         # The transport of the watch's connection to discovery is cast, because isinstance would fail:
         # uvloop's transport class does not inherit from asyncio.Transport.
         self._transport = transport = cast(asyncio.Transport, transport)
-        if self._owner.is_current(self):
+        if self._owner.is_open(self):
             self._parser = httptools.HttpResponseParser(self)
             transport.write(self._owner.watch_request())
         else:
@@ -139,12 +148,14 @@
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._end_watch(WatchEnd.ENDED_BY_DISCOVERY, f"malformed HTTP response from discovery: {error!r}")
+            self._end_watch(
+                WatchFailure.ENDED_BY_DISCOVERY, f"malformed HTTP response from discovery: {error!r}"
+            )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the watch, because its connection was closed."""
         self._timeout.cancel()
-        self._end_watch(WatchEnd.ENDED_BY_DISCOVERY, f"connection to discovery closed: {exc!r}")
+        self._end_watch(WatchFailure.ENDED_BY_DISCOVERY, f"connection to discovery closed: {exc!r}")
 
     # Callbacks of the HTTP parser (httptools) for discovery's response to a watch.
 
@@ -154,12 +165,19 @@
             return
         status = self._parser.get_status_code()
         if status == 200:
-            self._set_data_deadline(self._opened_at + discovery_limits.FIRST_DATA_TIMEOUT_S)
+            self._on_response_headers()
         elif status >= 200:
             self._end_watch(
-                WatchEnd.ENDED_BY_DISCOVERY, f"discovery responded with status {status}, expected 200"
+                WatchFailure.ENDED_BY_DISCOVERY, f"discovery responded with status {status}, expected 200"
             )
 
+    def _on_response_headers(self) -> None:
+        """Start the timeout for first data; that of an overdue watch starts now."""
+        first_data_timeout_s = discovery_limits.FIRST_DATA_TIMEOUT_S
+        began_at = self._loop.time() if self.is_overdue else self._opened_at
+        self.is_overdue = False
+        self._set_data_deadline(began_at + first_data_timeout_s)
+
     def on_body(self, data: bytes) -> None:
         """Pass the JSON objects that `data` completes to the owner, and extend the deadline for data."""
         objects = self._splitter.feed(data)
@@ -170,9 +188,9 @@
             self._owner.on_data(self)
         if self._splitter.buffered_bytes() > MAX_UPDATE_BYTES:
             self._end_watch(
-                WatchEnd.ENDED_BY_DISCOVERY, f"endpoint list update exceeds {MAX_UPDATE_BYTES} bytes"
+                WatchFailure.ENDED_BY_DISCOVERY, f"endpoint list update exceeds {MAX_UPDATE_BYTES} bytes"
             )
 
     def on_message_complete(self) -> None:
         """End the watch; discovery ends the response only when it ends the watch."""
-        self._end_watch(WatchEnd.ENDED_BY_DISCOVERY, "discovery ended the response to the watch")
+        self._end_watch(WatchFailure.ENDED_BY_DISCOVERY, "discovery ended the response to the watch")
--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -15,10 +15,9 @@
 
 from moleport.config.endpoints import DiscoveredEndpoint, DiscoveryUpdate
 from moleport.config.node_config import Config
-from moleport.node import discovery_limits
 from moleport.node.connection_pools import ConnectionPools
-from moleport.node.discovery_client import DiscoveryClient
-from moleport.node.discovery_watch import WatchEnd
+from moleport.node.discovery_client import DiscoveryClient, WatchLimits
+from moleport.node.discovery_watch import WatchFailure
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.initial_list_wait import InitialListWait, WaitResult
 from moleport.node.list_freshness import ListFreshness
@@ -71,9 +70,7 @@
             config.cached_endpoints.version,
             self,
             hold_detector,
-            discovery_limits.AGENT_RESPONSE_TIMEOUT_S
-            if self._is_push_mode
-            else discovery_limits.SHARED_RESPONSE_TIMEOUT_S,
+            WatchLimits.of_mode(config.policy_settings.discovery_mode),
         )
 
     def start(self) -> None:
@@ -119,10 +116,10 @@
         if not self._pending_endpoints:
             self._initial_wait.on_update_applied()
 
-    def on_watch_failed(self, watch_end: WatchEnd) -> None:
+    def on_watch_failed(self, failure: WatchFailure) -> None:
         """In push mode open another watch after a backoff; in poll mode report the failure to the policy."""
-        self._initial_wait.on_watch_ended(watch_end)
-        self._telemetry.count(Event.WATCH_FAILED, end=watch_end.name)
+        self._initial_wait.on_watch_failed(failure)
+        self._telemetry.count(Event.WATCH_FAILED, failure=failure.name)
         if self._is_push_mode:
             self._loop.call_later(self._backoff.next_delay_seconds(), self.discovery.open_watch)
             return
--- a/moleport/node/initial_list_wait.py
+++ b/moleport/node/initial_list_wait.py
@@ -14,7 +14,7 @@
 from enum import Enum
 
 from moleport.node import discovery_limits
-from moleport.node.discovery_watch import WatchEnd
+from moleport.node.discovery_watch import WatchFailure
 
 # Time for further watches, in addition to the time limit of one watch, before the node serves without an
 # update. A restarted node has to be ready within 6 s.
@@ -62,13 +62,13 @@
         """End the wait: the policy knows the endpoint list of discovery."""
         self._end(WaitResult.UPDATED)
 
-    def on_watch_ended(self, watch_end: WatchEnd) -> None:
+    def on_watch_failed(self, failure: WatchFailure) -> None:
         """Wait for the next watch, unless discovery has not responded for the time limit of a response."""
         now = self._loop.time()
         self._watch_started_at = now
-        if watch_end is WatchEnd.SILENT:
+        if failure is WatchFailure.SILENT:
             self._end(WaitResult.NO_UPDATE)
-        elif watch_end not in (WatchEnd.NOT_CONNECTED, WatchEnd.NO_RESPONSE):
+        elif failure not in (WatchFailure.NOT_CONNECTED, WatchFailure.NO_RESPONSE):
             # A response shows that discovery is reachable, and a local fault shows nothing about discovery.
             self._unanswered_since = now
         elif now - self._unanswered_since >= discovery_limits.AGENT_RESPONSE_TIMEOUT_S:
--- a/moleport/telemetry.py
+++ b/moleport/telemetry.py
@@ -88,7 +88,7 @@
     LOOP_STALLED = "loop_held"
     """The event loop ran late, as in a process that was stopped for a while."""
     WATCH_FAILED = "watch_failed"
-    """A watch or poll of the endpoint list failed; the trace contains what ended it."""
+    """A watch or poll of the endpoint list failed or became overdue; the trace contains the failure."""
     ENDPOINT_LIST_OUTDATED = "endpoint_list_outdated"
     """Discovery has sent nothing for so long that the endpoint list may be outdated; the trace contains for
     how long."""
--- a/scale/lists.py
+++ b/scale/lists.py
@@ -22,8 +22,8 @@
 from moleport.config.endpoints import DiscoveredEndpoint, DiscoveryUpdate, parse_update
 from moleport.config.node_config import Config, load
 from moleport.node.connection_pools import ConnectionPools
-from moleport.node.discovery_client import DiscoveryClient
-from moleport.node.discovery_watch import WatchConnection, WatchEnd
+from moleport.node.discovery_client import DiscoveryClient, WatchLimits
+from moleport.node.discovery_watch import WatchConnection, WatchFailure
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.name_hashing import hash_name
 from moleport.node.node_factory import build_node
@@ -230,7 +230,7 @@
     def on_update(self, update: DiscoveryUpdate) -> None:
         self.updates.append(update)
 
-    def on_watch_failed(self, watch_end: WatchEnd) -> None:
+    def on_watch_failed(self, failure: WatchFailure) -> None:
         pass
 
     def on_data(self) -> None:
@@ -242,12 +242,14 @@
     data = update_text(2, True, range(size))
     observer = _UpdateCollector()
     hold_detector = HoldDetector(Telemetry(trace=False))
-    discovery = DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector)
-    discovery._watch = watch = WatchConnection(discovery)
+    limits = WatchLimits.of_mode(api.DiscoveryMode.PUSH)
+    discovery = DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector, limits)
+    watch = WatchConnection(discovery)
+    discovery._watches.append(watch)
     started_at = thread_time()
     for begin in range(0, len(data), READ_BYTES):
         watch.on_body(data[begin : begin + READ_BYTES])
-    discovery.finish_parsing()
+    discovery._parser.finish()
     cpu_seconds = thread_time() - started_at
     discovery.close()
     assert len(observer.updates[0].endpoints) == size
@@ -263,7 +265,8 @@
     while len(node._ready_endpoint_ids) < size:
         await asyncio.sleep(0)
     discovery = node.endpoint_list.discovery
-    discovery._watch = watch = WatchConnection(discovery)
+    watch = WatchConnection(discovery)
+    discovery._watches.append(watch)
     measurements = []
     for number in range(20):
         data = update_text(2 + number, False, [size + number])
--- a/tests/node/test_discovery_reconnect.py
+++ b/tests/node/test_discovery_reconnect.py
@@ -233,10 +233,12 @@
 
     async def test() -> None:
         hold_detector = HoldDetector(Telemetry(trace=False))
+        limits = discovery_client.WatchLimits.of_mode(api.DiscoveryMode.PUSH)
         observer = Mock(on_update=reported.append)
-        client = discovery_client.DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector)
+        client = discovery_client.DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector, limits)
         replaced = discovery.WatchConnection(client)
-        current = client._watch = discovery.WatchConnection(client)
+        current = discovery.WatchConnection(client)
+        client._watches.append(current)
         listed = entries(range(3 * update_parser.SLICE_ENTRY_COUNT))
         client.on_json_object(current, update_text(2, listed))
         replaced.connection_lost(None)
--- a/tests/node/test_initial_list_wait.py
+++ b/tests/node/test_initial_list_wait.py
@@ -28,7 +28,7 @@
 from rig import status as status_of
 
 from moleport.node import discovery_limits
-from moleport.node.discovery_watch import WatchEnd
+from moleport.node.discovery_watch import WatchFailure
 from moleport.node.initial_list_wait import MAX_FURTHER_WATCHES_S, InitialListWait, WaitResult
 from moleport.node.name_hashing import hash_name
 from soak.shims import Faults
@@ -152,17 +152,17 @@
 
 
 @pytest.mark.parametrize(
-    ("watch_end", "result"),
+    ("failure", "result"),
     [
-        (WatchEnd.NOT_CONNECTED, WaitResult.UNREACHABLE),
-        (WatchEnd.NO_RESPONSE, WaitResult.UNREACHABLE),
-        (WatchEnd.LOCAL_FAULT, WaitResult.NO_UPDATE),
-        (WatchEnd.ENDED_BY_DISCOVERY, WaitResult.NO_UPDATE),
-        (WatchEnd.SILENT, WaitResult.NO_UPDATE),
+        (WatchFailure.NOT_CONNECTED, WaitResult.UNREACHABLE),
+        (WatchFailure.NO_RESPONSE, WaitResult.UNREACHABLE),
+        (WatchFailure.LOCAL_FAULT, WaitResult.NO_UPDATE),
+        (WatchFailure.ENDED_BY_DISCOVERY, WaitResult.NO_UPDATE),
+        (WatchFailure.SILENT, WaitResult.NO_UPDATE),
     ],
 )
 def test_the_wait_ends_by_its_limits_if_each_watch_ends_in_the_same_way(
-    watch_end: WatchEnd, result: WaitResult, monkeypatch: pytest.MonkeyPatch
+    failure: WatchFailure, result: WaitResult, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against taking a local fault or an ended watch for an unreachable discovery."""
     monkeypatch.setattr(discovery_limits, "AGENT_RESPONSE_TIMEOUT_S", 0.1)
@@ -176,7 +176,7 @@
         async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
             while not ended.done():
                 await asyncio.sleep(0.02)
-                wait.on_watch_ended(watch_end)
+                wait.on_watch_failed(failure)
             assert await ended is result
 
     assert MAX_FURTHER_WATCHES_S > discovery_limits.AGENT_RESPONSE_TIMEOUT_S
--- a/tests/node/test_json_stream.py
+++ b/tests/node/test_json_stream.py
@@ -35,7 +35,7 @@
         def on_data(self, _: discovery.WatchConnection) -> None:
             pass
 
-        def is_current(self, _: discovery.WatchConnection) -> bool:
+        def is_open(self, _: discovery.WatchConnection) -> bool:
             return False
 
     async def test() -> None:
--- a/tests/node/test_large_lists.py
+++ b/tests/node/test_large_lists.py
@@ -222,8 +222,8 @@
             rig.watch()
             await until(lambda: old.targets)
             discovery_client = rig.node.endpoint_list.discovery
-            assert discovery_client._watch is not None
-            discovery_client.on_json_object(discovery_client._watch, update_text(9, entries(range(MANY))))
+            (watch,) = discovery_client._watches
+            discovery_client.on_json_object(watch, update_text(9, entries(range(MANY))))
             assert not rig.node._ready_endpoint_ids  # most entries are not parsed yet
             rig.node.reload(replace(rig.config, discovery_address=parse_address(new.address)))
             await until(lambda: new.targets)
--- /dev/null
+++ b/tests/node/test_slow_discovery.py
@@ -0,0 +1,143 @@
+"""Tests of a discovery that responds, but takes longer than the time limits of a watch."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from rig import TEST_TIMEOUT_SECONDS, Rig, Server, configuration, run, until
+from slow_discovery import SlowDiscovery
+
+from moleport.config.endpoints import parse_address
+from moleport.node.name_hashing import hash_name
+
+NOTIFICATION_LIMIT_S = 6.0  # from a change of the endpoint list until the node has to know it
+RELOAD_LIMIT_S = 4.0  # the same from a reload of the configuration
+
+
+def document(mode: str, discovery: SlowDiscovery | None, *servers: Server) -> dict[str, Any]:
+    """Return a configuration whose list of servers is outdated if the discovery has another."""
+    found = configuration(*servers, discovery=discovery.address if discovery else "127.0.0.1:1")
+    found["settings"]["MembershipMode"] = mode
+    return found
+
+
+def ready_names(rig: Rig, *servers: Server) -> set[str]:
+    """Return the names of the servers that the node forwards to."""
+    return {server.name for server in servers if hash_name(server.name) in rig.node._ready_endpoint_ids}
+
+
+async def play_drain(mode: str, **delays: float) -> tuple[float, int, int]:
+    """Return the time until a drain known to a slow discovery is applied, and its calls and connections."""
+    async with (
+        Server("s-1") as first,
+        Server("s-2") as drained,
+        SlowDiscovery(first, drained, **delays) as discovery,
+        Rig(document(mode, discovery, first, drained)) as rig,
+    ):
+        drained.state = "Terminating"
+        loop = asyncio.get_running_loop()
+        changed_at = loop.time()
+        rig.watch()
+        await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+        delay_s = loop.time() - changed_at
+        calls = discovery.calls
+        await asyncio.sleep(4.0)  # the watch stays open, and no other call follows
+        assert (discovery.calls, discovery.open) == (calls, 1)
+        return delay_s, calls, discovery.most_open
+
+
+SLOW_CALLS: list[tuple[str, dict[str, float]]] = [
+    ("pushed", {"wait": 0.7}),
+    ("pushed", {"wait": 1.0}),
+    ("pushed", {"wait": 2.0}),
+    ("pushed", {"wait": 3.0}),
+    ("pushed", {"wait": 5.0}),
+    ("pushed", {"head": 3.0}),
+    ("on_request", {"wait": 3.0}),
+    ("on_request", {"wait": 5.0}),
+    ("on_request", {"head": 4.0}),
+]
+
+
+def test_a_node_learns_of_a_drain_from_a_discovery_whose_responses_begin_late() -> None:
+    """Guards against giving up each watch before its response: the node then never learned of a drain."""
+
+    async def test() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            results = await asyncio.gather(*(play_drain(mode, **delays) for mode, delays in SLOW_CALLS))
+        assert [result for result in results if result[0] >= NOTIFICATION_LIMIT_S] == []
+        # One call each 0.5 s at most, as for a discovery that is down.
+        assert [result for result in results if result[1] > result[0] / 0.5 + 1] == []
+
+    run(test())
+
+
+@pytest.mark.parametrize("wait", [1.0, 2.0])
+def test_a_watch_that_was_cut_is_replaced_by_a_slow_one_in_time(wait: float) -> None:
+    """Guards against losing a drain that begins as the watch breaks, while new watches are slow."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained) as discovery,
+            Rig(document("pushed", discovery, first, drained)) as rig,
+        ):
+            await until(lambda: discovery._watches)
+            discovery.wait_seconds = wait
+            discovery.cut()
+            drained.state = "Terminating"
+            async with asyncio.timeout(NOTIFICATION_LIMIT_S):
+                await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+
+    run(test())
+
+
+def test_a_silent_discovery_that_comes_back_slow_is_heard_in_time() -> None:
+    """Guards against keeping only watches from the outage, which are never answered."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained) as discovery,
+            Rig(document("pushed", discovery, first, drained)) as rig,
+        ):
+            await until(lambda: discovery._watches)
+            discovery.is_silent = True
+            discovery.cut()
+            await asyncio.sleep(8.0)
+            assert discovery.most_open <= 8
+            discovery.is_silent = False
+            discovery.wait_seconds = 3.0
+            drained.state = "Terminating"
+            async with asyncio.timeout(NOTIFICATION_LIMIT_S):
+                await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            await until(lambda: discovery.open == 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("wait", [1.0, 2.0])
+def test_a_reload_to_a_slow_discovery_applies_its_list_in_time(wait: float) -> None:
+    """Guards against giving up each watch at a new address, which has 4 s from the signal."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained) as old,
+            SlowDiscovery(first, drained, wait=wait) as new,
+            Rig(document("pushed", old, first, drained)) as rig,
+        ):
+            await until(lambda: old._watches)
+            drained.state = "Terminating"
+            rig.node.reload(replace(rig.config, discovery_address=parse_address(new.address)))
+            async with asyncio.timeout(RELOAD_LIMIT_S):
+                await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            await until(lambda: old.open == 0)
+
+    run(test())
