Keep a watch of discovery open while the bytes of its list are still arriving

Same family as the response timeout.

Change: a watch whose first data, or whose present update, is not complete in time is overdue, as one without a response is. Between two updates silence still ends a watch, since it may have missed changes. An empty line, which a watch may begin with, does not close others that have a part of an update. At most two watches receive at once, as each buffers its update: a further response closes an overdue one, or else its own watch.

Tests: lists over 4 s in both modes, late heads with lists over 2 and 3 s, a change over 4.5 s (both tests failed before); and at most three connections while lists stop half way (passed before, guards the new limit).

--- a/moleport/node/discovery_client.py
+++ b/moleport/node/discovery_client.py
@@ -48,8 +48,8 @@
 class DiscoveryClient:
     """Opens watches on request, and reports their updates and failures.
 
-    A watch is opened only if all open ones are overdue. The first watch that receives complete data replaces
-    all others.
+    A watch is opened only if all open ones are overdue. The first watch that receives an update replaces all
+    others.
     """
 
     def __init__(
@@ -148,15 +148,29 @@
 
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
         """Parse a JSON object that a watch has received; the watch ends if it is not a valid update."""
-        self._parser.finish()
+        if self.is_open(watch):
+            self._parser.finish()
         if self.is_open(watch):
             self._parser.parse(watch, text)
 
-    def on_data(self, watch: WatchConnection) -> None:
-        """Report that discovery responds, and keep only the watch that has received complete data."""
-        if self.is_open(watch):
-            self._close_others(watch)
-            self._observer.on_data()
+    def on_response_headers(self, watch: WatchConnection) -> None:
+        """Close an overdue watch, or else `watch` itself, if too many watches receive updates."""
+        receiving = [other for other in self._watches if other is not watch and other.has_response_headers]
+        if len(receiving) >= discovery_limits.MAX_RECEIVING_WATCHES:
+            overdue = (other for other in receiving if other.is_overdue)
+            self._close_watch(next(overdue, watch))
+
+    def on_data(self, watch: WatchConnection, has_update: bool) -> None:
+        """Report that discovery responds, and keep only the watch that has received complete data.
+
+        After an empty line, which any watch may begin with, others that receive an update stay open as well.
+        """
+        if not self.is_open(watch):
+            return
+        for other in tuple(self._watches):
+            if other is not watch and (has_update or not other.has_partial_update()):
+                self._close_watch(other)
+        self._observer.on_data()
 
     def on_overdue(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
         """Log and report the failure of a watch that stays open."""
--- a/moleport/node/discovery_limits.py
+++ b/moleport/node/discovery_limits.py
@@ -9,9 +9,9 @@
   discovery takes to respond;
 - the address changes: the time that discovery takes to respond.
 
-A timeout without a response does not end a watch, but makes it overdue: another one is opened, as discovery
-may be reachable again, and the overdue one stays open, as discovery may be slow. So the time that discovery
-may take is bounded by the sums above and `OVERDUE_PATIENCE_S`, not by a timeout.
+A timeout without a response, or within an update, does not end a watch, but makes it overdue: another one is
+opened, as discovery may be reachable again, and the overdue one stays open, as discovery may be slow. So the
+time that discovery may take is bounded by the sums above and `OVERDUE_PATIENCE_S`, not by a timeout.
 
 The backoff is that of `reconnect_backoff` where lists are pushed, and of `policy.discovery_polling`, which
 shares two limits with this module, where they are polled.
@@ -42,5 +42,7 @@
 # Their descriptors are part of the reserve of the node.
 AGENT_MAX_OPEN_WATCHES = 8
 SHARED_MAX_OPEN_WATCHES = 3
+# Limit on the watches that one node receives partial updates on, as each of them buffers its update.
+MAX_RECEIVING_WATCHES = 2
 # Time for which an overdue watch stays open; if too many are open, only the oldest has this time.
 OVERDUE_PATIENCE_S = 30.0
--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -25,7 +25,7 @@
     NO_RESPONSE = auto()
     """Discovery sent no response headers in time; the watch is overdue."""
     SILENT = auto()
-    """Discovery sent response headers, and then no complete data in time."""
+    """Discovery sent response headers, and then no complete data in time; the watch may be overdue."""
     ENDED_BY_DISCOVERY = auto()
     """Discovery closed the watch, rejected it or sent something other than valid updates."""
 
@@ -46,8 +46,11 @@
     def on_json_object(self, watch: WatchConnection, text: bytes) -> None:
         """Process a JSON object that a watch has received."""
 
-    def on_data(self, watch: WatchConnection) -> None:
-        """Process the sign that a watch has received complete data, which may be an empty line."""
+    def on_response_headers(self, watch: WatchConnection) -> None:
+        """Process the start of a response; it may close the watch."""
+
+    def on_data(self, watch: WatchConnection, has_update: bool) -> None:
+        """Process complete data of a watch, which is an update or an empty line."""
 
     def on_overdue(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
         """Process the failure of a watch that stays open."""
@@ -59,19 +62,23 @@
 class WatchConnection(asyncio.Protocol):
     """The connection of one watch, which splits the body of the response into JSON objects.
 
-    Discovery may fail without closing the connection, or may only be slow. A watch without a response in time
-    is therefore overdue: its failure is reported, and it stays open.
+    Discovery may fail without closing the connection, or may only be slow. A watch without its first data in
+    time, or whose data does not complete an update in time, is therefore overdue: its failure is reported,
+    and it stays open. A watch that falls silent between two updates ends, as it may have missed changes.
     """
 
     def __init__(self, owner: WatchOwner) -> None:
         """Start the timeout for the response headers of the watch."""
         self.is_overdue = False
+        self.has_response_headers = False
         self.connect_task: asyncio.Task[None] | None = None
         self._owner = owner
         self._transport: asyncio.Transport | None = None
         # Parser of discovery's response to the watch; None unless the connection is open.
         self._parser: httptools.HttpResponseParser | None = None
         self._splitter = JsonObjectSplitter()
+        self._has_received_data = False  # whether any data was complete
+        self._read_at = 0.0  # loop time in s of the latest read from the connection
         self._loop = asyncio.get_running_loop()
         self._opened_at = self._loop.time()
         self._hold_at_opening_ns = owner.hold_detector.total_hold_ns()
@@ -112,20 +119,35 @@
         """Report the failure, and wait for discovery for a longer time."""
         self.is_overdue = True
         self._timeout = self._loop.call_later(
-            discovery_limits.OVERDUE_PATIENCE_S, self._end_watch, failure, "discovery has never responded"
+            discovery_limits.OVERDUE_PATIENCE_S, self._end_watch, failure, "overdue for too long"
         )
         self._owner.on_overdue(self, failure, reason)
 
     def _set_data_deadline(self, deadline: float) -> None:
-        """End the watch at `deadline`, in seconds of the loop's clock, unless a later call replaces it.
+        """Expect data until `deadline`, in seconds of the loop's clock, unless a later call replaces it.
 
         Data that completes a JSON object, or that ends between two objects, extends the deadline.
         """
         self._timeout.cancel()
         if self._owner.is_open(self):
-            self._timeout = self._loop.call_at(
-                deadline, self._end_watch, WatchFailure.SILENT, "no data from discovery in time"
-            )
+            self._timeout = self._loop.call_at(deadline, self._on_data_timeout)
+
+    def _on_data_timeout(self) -> None:
+        """Let a watch be overdue whose first data, or whose present update, may still arrive; end another."""
+        reason = "no complete data from discovery in time"
+        if self._has_received_data and not self._is_receiving():
+            self._end_watch(WatchFailure.SILENT, reason)
+        else:
+            self._become_overdue(WatchFailure.SILENT, reason)
+
+    def _is_receiving(self) -> bool:
+        """Return whether a part of an update has arrived, the latest piece of it not long ago."""
+        silence_s = self._loop.time() - self._read_at
+        return self.has_partial_update() and silence_s < discovery_limits.DATA_TIMEOUT_S
+
+    def has_partial_update(self) -> bool:
+        """Return whether a part of an update has arrived, and not the rest."""
+        return not self._splitter.is_between_objects()
 
     # Methods of `asyncio.Protocol`, which the event loop calls for the connection of a watch.
 
@@ -145,6 +167,7 @@
         parser = self._parser
         if parser is None:
             return
+        self._read_at = self._loop.time()
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -173,6 +196,8 @@
 
     def _on_response_headers(self) -> None:
         """Start the timeout for first data; that of an overdue watch starts now."""
+        self.has_response_headers = True
+        self._owner.on_response_headers(self)
         first_data_timeout_s = discovery_limits.FIRST_DATA_TIMEOUT_S
         began_at = self._loop.time() if self.is_overdue else self._opened_at
         self.is_overdue = False
@@ -181,11 +206,14 @@
     def on_body(self, data: bytes) -> None:
         """Pass the JSON objects that `data` completes to the owner, and extend the deadline for data."""
         objects = self._splitter.feed(data)
+        if objects or self._splitter.is_between_objects():
+            self.is_overdue = False
+            self._has_received_data = True
         for text in objects:
             self._owner.on_json_object(self, text)
         if objects or self._splitter.is_between_objects():
             self._set_data_deadline(self._loop.time() + discovery_limits.DATA_TIMEOUT_S)
-            self._owner.on_data(self)
+            self._owner.on_data(self, has_update=bool(objects))
         if self._splitter.buffered_bytes() > MAX_UPDATE_BYTES:
             self._end_watch(
                 WatchFailure.ENDED_BY_DISCOVERY, f"endpoint list update exceeds {MAX_UPDATE_BYTES} bytes"
--- a/tests/node/test_json_stream.py
+++ b/tests/node/test_json_stream.py
@@ -32,7 +32,7 @@
         def on_json_object(self, _: discovery.WatchConnection, data: bytes) -> None:
             self.seen.append(json.loads(data))
 
-        def on_data(self, _: discovery.WatchConnection) -> None:
+        def on_data(self, _: discovery.WatchConnection, has_update: bool) -> None:
             pass
 
         def is_open(self, _: discovery.WatchConnection) -> bool:
--- a/tests/node/test_slow_discovery.py
+++ b/tests/node/test_slow_discovery.py
@@ -11,6 +11,7 @@
 from slow_discovery import SlowDiscovery
 
 from moleport.config.endpoints import parse_address
+from moleport.node.discovery_limits import MAX_RECEIVING_WATCHES
 from moleport.node.name_hashing import hash_name
 
 NOTIFICATION_LIMIT_S = 6.0  # from a change of the endpoint list until the node has to know it
@@ -75,6 +76,71 @@
     run(test())
 
 
+SLOW_LISTS: list[tuple[str, dict[str, float]]] = [
+    ("pushed", {"body": 4.0}),
+    ("pushed", {"wait": 2.0, "body": 2.0}),
+    ("pushed", {"wait": 1.0, "head": 1.0, "body": 3.0}),
+    ("on_request", {"body": 4.0}),
+]
+
+
+def test_a_node_learns_of_a_drain_from_a_list_whose_bytes_arrive_slowly() -> None:
+    """Guards against taking a list that is on its way for silence, and starting again from its first byte."""
+
+    async def test() -> None:
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            results = await asyncio.gather(*(play_drain(mode, **delays) for mode, delays in SLOW_LISTS))
+        assert [result for result in results if result[0] >= NOTIFICATION_LIMIT_S] == []
+        assert [result for result in results if result[1] > result[0] / 0.5 + 1] == []
+
+    run(test())
+
+
+def test_a_change_whose_bytes_arrive_slowly_is_applied_from_the_watch_that_receives_it() -> None:
+    """Guards against closing a watch within a change: the next watch would receive as slowly."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained) as discovery,
+            Rig(document("pushed", discovery, first, drained)) as rig,
+        ):
+            await until(lambda: discovery._watches)
+            discovery.body_seconds = 10.0
+            drained.state = "Terminating"
+            async with asyncio.timeout(NOTIFICATION_LIMIT_S):
+                await discovery.change(drained, seconds=4.5)
+                await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            await until(lambda: discovery.open == 1)
+
+    run(test())
+
+
+def test_few_watches_receive_at_once_while_lists_stop_half_way() -> None:
+    """Guards against buffering one partial list for each watch, and against not replacing stopped ones."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained) as discovery,
+            Rig(document("pushed", discovery, first, drained)) as rig,
+        ):
+            await until(lambda: discovery._watches)
+            discovery.stalls = True
+            discovery.cut()
+            await until(lambda: discovery.calls == 5)
+            assert discovery.most_open <= MAX_RECEIVING_WATCHES + 1
+            discovery.stalls = False
+            drained.state = "Terminating"
+            async with asyncio.timeout(NOTIFICATION_LIMIT_S):
+                await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            await until(lambda: discovery.open == 1)
+
+    run(test())
+
+
 @pytest.mark.parametrize("wait", [1.0, 2.0])
 def test_a_watch_that_was_cut_is_replaced_by_a_slow_one_in_time(wait: float) -> None:
     """Guards against losing a drain that begins as the watch breaks, while new watches are slow."""
--- a/tests/slow_discovery.py
+++ b/tests/slow_discovery.py
@@ -25,6 +25,7 @@
         self.wait_seconds = wait
         self.head_seconds = head
         self.body_seconds = body
+        self.stalls = False  # sends a part of the list only
         self.head_prefix = b""  # interim responses
         self.is_silent = False  # accepts watches, and never answers those that begin meanwhile
         self.version = 41
@@ -52,11 +53,14 @@
         for writer in self._writers:
             writer.transport.abort()
 
-    def change(self, *servers: Server) -> None:
-        """Send the entries of changed servers on all watches that have their list."""
+    async def change(self, *servers: Server, seconds: float = 0.0) -> None:
+        """Send the entries of changed servers, in a time, on all watches that have their list."""
         self.version += 1
-        for writer in self._watches:
-            writer.write(self._chunk(servers, full=False))
+        update = self._chunk(servers, full=False)
+        watches = tuple(self._watches)
+        self._watches.clear()  # no empty line within an update
+        await asyncio.gather(*(self._send(writer, update, seconds) for writer in watches))
+        self._watches.update(watches)
 
     def _chunk(self, servers: tuple[Server, ...], full: bool) -> bytes:
         entries = [server.entry() for server in servers]
@@ -71,7 +75,8 @@
         with suppress(asyncio.IncompleteReadError, OSError):
             await read_message(reader)
             answer = asyncio.create_task(self._answer(writer))
-            await reader.read()  # until the node closes the connection
+            with suppress(OSError):
+                await reader.read()  # until the node closes or resets the connection
             self.open -= 1
             await answer
         self._writers.discard(writer)
@@ -83,11 +88,16 @@
             return
         await asyncio.sleep(self.wait_seconds)
         await self._send(writer, self.head_prefix + WATCH_HEAD, self.head_seconds)
-        await self._send(writer, self._chunk(self.servers, full=True), self.body_seconds)
+        update = self._chunk(self.servers, full=True)
+        if self.stalls:
+            writer.write(update[: len(update) // 2])
+            return
+        await self._send(writer, update, self.body_seconds)
         self._watches.add(writer)
         while not writer.is_closing():
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            writer.write(b"1\r\n\n\r\n")
+            if writer in self._watches:
+                writer.write(b"1\r\n\n\r\n")
 
     async def _send(self, writer: asyncio.StreamWriter, data: bytes, seconds: float) -> None:
         """Send data in pieces, spread over a time."""
