Wait at the start for the list of an agent that accepts a watch and is slow

Cause: InitialListWait took an agent without response headers for 0.5 s for one that is down. A watch that ran into its first data's timeout ended the wait as well, though its list was on its way.

Change: only an agent that accepts no connection ends the wait after 0.5 s. One that accepts and does not respond is slow or down, which the node can't distinguish; it waits for up to 4 s in all, as it did already for an agent that ends each watch, and then serves its configured list with the result NO_RESPONSE in log and counter. The time for an update behind empty lines starts with the first of them.

Tests: test_a_new_node_waits_for_the_list_of_a_slow_discovery failed before (responses after 0.7 to 3 s, lists over 2 and 3.5 s). One case of test_the_wait_ends_by_its_limits asked for the old decision, UNREACHABLE for an agent that accepts and sends nothing; it now asks for NO_RESPONSE at the limit.

--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -104,6 +104,7 @@
 
     def on_data(self) -> None:
         """Record that discovery responds."""
+        self._initial_wait.on_data()
         self._freshness.on_data()
 
     def on_update(self, update: DiscoveryUpdate) -> None:
--- a/tests/node/test_initial_list_wait.py
+++ b/tests/node/test_initial_list_wait.py
@@ -155,7 +155,7 @@
     ("failure", "result"),
     [
         (WatchFailure.NOT_CONNECTED, WaitResult.UNREACHABLE),
-        (WatchFailure.NO_RESPONSE, WaitResult.UNREACHABLE),
+        (WatchFailure.NO_RESPONSE, WaitResult.NO_RESPONSE),
         (WatchFailure.LOCAL_FAULT, WaitResult.NO_UPDATE),
         (WatchFailure.ENDED_BY_DISCOVERY, WaitResult.NO_UPDATE),
         (WatchFailure.SILENT, WaitResult.NO_UPDATE),
--- a/tests/node/test_slow_discovery.py
+++ b/tests/node/test_slow_discovery.py
@@ -187,6 +187,43 @@
     run(test())
 
 
+async def play_start(**delays: float) -> tuple[set[str], float]:
+    """Return the servers that a new node with an outdated list serves from, and the time of its start."""
+    async with (
+        Server("s-1") as first,
+        Server("s-2") as drained,
+        SlowDiscovery(first, drained, **delays) as discovery,
+    ):
+        drained.state = "Terminating"
+        outdated = document("pushed", discovery, first, drained)
+        outdated["known"]["servers"][1]["state"] = "Ready"
+        started_at = asyncio.get_running_loop().time()
+        async with Rig(outdated) as rig:
+            assert ready_names(rig, first, drained) == {"s-1", "s-2"}
+            await rig.node.wait_until_endpoints_known()
+            start_s = asyncio.get_running_loop().time() - started_at
+            return ready_names(rig, first, drained), start_s
+
+
+def test_a_new_node_waits_for_the_list_of_a_slow_discovery() -> None:
+    """Guards against serving an outdated list because the agent needs over 0.5 s for its response."""
+
+    async def test() -> None:
+        slow_starts: list[dict[str, float]] = [
+            {"wait": 0.7},
+            {"wait": 1.0},
+            {"wait": 2.0},
+            {"wait": 3.0},
+            {"body": 3.5},
+            {"wait": 1.5, "body": 2.0},
+        ]
+        results = await asyncio.gather(*(play_start(**delays) for delays in slow_starts))
+        assert [result for result in results if result[0] != {"s-1"}] == []
+        assert max(start_s for _, start_s in results) < 6.0  # time in which a node has to be ready
+
+    run(test())
+
+
 @pytest.mark.parametrize("wait", [1.0, 2.0])
 def test_a_reload_to_a_slow_discovery_applies_its_list_in_time(wait: float) -> None:
     """Guards against giving up each watch at a new address, which has 4 s from the signal."""
