Keep a watch of the earlier discovery address until the new address has sent its list

Cause: a reload closed all watches at once, so each further reload threw away a response on its way and began the wait again. The earlier address keeps open connections for 1.5 s.

Change: the oldest watch of the earlier address stays open until the current address has sent an update. Versions belong to a DiscoverySource, an address between two reloads, as updates of both may arrive; the end of a watch of an earlier address is not reported. Such watches are the first to be given up where too many are open or receive.

Tests: the above; the older list of a slower watch does not replace a newer one; a discovery slower than the limit on open watches allows is heard.

--- a/moleport/node/discovery_client.py
+++ b/moleport/node/discovery_client.py
@@ -8,7 +8,7 @@
 
 from moleport.config.endpoints import DiscoveryUpdate
 from moleport.node import discovery_limits
-from moleport.node.discovery_watch import WatchConnection, WatchFailure
+from moleport.node.discovery_watch import DiscoverySource, WatchConnection, WatchFailure
 from moleport.node.error_codes import LOCAL_FAULTS, classify_error
 from moleport.node.hold_detector import HoldDetector
 from moleport.node.update_parser import UpdateParser
@@ -48,8 +48,8 @@
 class DiscoveryClient:
     """Opens watches on request, and reports their updates and failures.
 
-    A watch is opened only if all open ones are overdue. The first watch that receives an update replaces all
-    others.
+    A watch is opened only if all open ones of the current address are overdue. The first of them that
+    receives an update replaces all others.
     """
 
     def __init__(
@@ -68,42 +68,47 @@
         self.response_timeout_s = limits.response_timeout_s
         self.hold_detector = hold_detector
         self._max_open_watches = limits.max_open_watches
-        self._address = address
-        self._parser = UpdateParser(version, self._on_parsed, self._on_invalid_update)
+        self._source = DiscoverySource(address, version)
+        self._parser = UpdateParser(self._on_parsed, self._on_invalid_update)
         self._observer = observer
         self._watches: list[WatchConnection] = []  # open watches, the oldest first
         self._loop = asyncio.get_running_loop()
 
     def open_watch(self) -> None:
-        """Open a watch, unless one that is not overdue is open or being opened."""
-        if any(not watch.is_overdue for watch in self._watches):
+        """Open a watch, unless one that is not overdue is open or being opened at the current address."""
+        if any(not watch.is_overdue for watch in self._watches_of(self._source)):
             return
         if len(self._watches) >= self._max_open_watches:
-            self._give_up_second_oldest()
-        watch = WatchConnection(self)
+            self._give_up_one()
+        watch = WatchConnection(self, self._source)
         self._watches.append(watch)
         watch.connect_task = self._loop.create_task(self._connect(watch))
 
-    def _give_up_second_oldest(self) -> None:
-        """Close an overdue watch to make room for another one.
+    def _watches_of(self, source: DiscoverySource) -> list[WatchConnection]:
+        """Return the open watches of a source, the oldest first."""
+        return [watch for watch in self._watches if watch.source is source]
 
-        The oldest watch stays, so that a discovery that always takes longer than all others have is heard.
+    def _give_up_one(self) -> None:
+        """Close a watch of an earlier address, or else the second oldest, so that another one can be opened.
+
+        The oldest watch stays open, for a discovery that takes longer than the other watches last.
         """
-        log.warning("an overdue discovery watch is given up, as %d are open", len(self._watches))
-        self._close_watch(self._watches[1])
+        log.warning("a discovery watch is given up, as %d are open", len(self._watches))
+        superseded = (watch for watch in self._watches if watch.source is not self._source)
+        self._close_watch(next(superseded, self._watches[1]))
 
     def change_address(self, address: tuple[str, int]) -> None:
-        """Close all watches and open one at another address (host, port), if the address has changed.
+        """Open a watch at another address (host, port), if the address has changed; it requests a snapshot.
 
-        The end of the old watches is not reported. Version numbers are specific to an address, so the new
-        watch requests a snapshot.
+        The oldest watch of the earlier address stays open until the new address has sent its list: it may
+        deliver before a slow new one does. Its end is not reported.
         """
-        if address == self._address:
+        if address == self._source.address:
             return
         self._parser.finish()
-        self._address = address
-        self._parser.version = 0
-        self.close()
+        for watch in self._watches_of(self._source)[1:]:
+            self._close_watch(watch)
+        self._source = DiscoverySource(address, version=0)
         self.open_watch()
 
     def close(self) -> None:
@@ -116,28 +121,17 @@
         self._watches.remove(watch)
         watch.close()
 
-    def _close_others(self, current: WatchConnection) -> None:
-        for watch in tuple(self._watches):
-            if watch is not current:
-                self._close_watch(watch)
-
-    def watch_request(self) -> bytes:
-        """Return the HTTP request that opens a watch."""
-        host, port = self._address
-        target = f"/discovery/hosts?watch=1&from={self._parser.version}"
-        return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
-
     async def _connect(self, watch: WatchConnection) -> None:
         """Connect a watch to discovery; the watch ends if connecting fails."""
         try:
-            await self._loop.create_connection(lambda: watch, *self._address)
+            await self._loop.create_connection(lambda: watch, *watch.source.address)
         except OSError as error:
             is_local_fault = classify_error(error) in LOCAL_FAULTS
             watch.connect_task = None
             self.on_ended(
                 watch,
                 WatchFailure.LOCAL_FAULT if is_local_fault else WatchFailure.NOT_CONNECTED,
-                f"connecting to discovery at {self._address} failed: {error!r}",
+                f"connecting to discovery at {watch.source.address} failed: {error!r}",
             )
 
     # Methods of `WatchOwner`, which the watches call.
@@ -154,33 +148,44 @@
             self._parser.parse(watch, text)
 
     def on_response_headers(self, watch: WatchConnection) -> None:
-        """Close an overdue watch, or else `watch` itself, if too many watches receive updates."""
-        receiving = [other for other in self._watches if other is not watch and other.has_response_headers]
+        """Close an overdue watch, one of an earlier address, or else `watch`, if too many receive updates."""
+        receiving = [other for other in self._watches if other is not watch and other.is_receiving()]
         if len(receiving) >= discovery_limits.MAX_RECEIVING_WATCHES:
-            overdue = (other for other in receiving if other.is_overdue)
-            self._close_watch(next(overdue, watch))
+            dispensable = (
+                other for other in receiving if other.is_overdue or other.source is not self._source
+            )
+            self._close_watch(next(dispensable, watch))
 
     def on_data(self, watch: WatchConnection, has_update: bool) -> None:
-        """Report that discovery responds, and keep only the watch that has received complete data.
-
-        After an empty line, which any watch may begin with, others that receive an update stay open as well.
-        """
+        """Report that discovery responds, and close the watches that are not needed beside this one."""
         if not self.is_open(watch):
             return
         for other in tuple(self._watches):
-            if other is not watch and (has_update or not other.has_partial_update()):
+            if other is not watch and self._is_replaced(other, watch, has_update):
                 self._close_watch(other)
-        self._observer.on_data()
+        if watch.source is self._source:
+            self._observer.on_data()
+
+    def _is_replaced(self, other: WatchConnection, watch: WatchConnection, has_update: bool) -> bool:
+        """Return whether complete data of `watch`, an update or an empty line, makes another watch needless.
+
+        An empty line, which a watch may begin with, replaces neither a watch that has a part of an update nor
+        those of an earlier address.
+        """
+        if other.source is not watch.source:
+            return has_update and watch.source is self._source
+        return has_update or not other.has_partial_update()
 
     def on_overdue(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
         """Log and report the failure of a watch that stays open."""
         log.warning("discovery watch is overdue and stays open: %s", reason)
-        self._observer.on_watch_failed(failure)
+        if watch.source is self._source:
+            self._observer.on_watch_failed(failure)
 
     def on_ended(self, watch: WatchConnection, failure: WatchFailure, reason: str) -> None:
-        """Log the end of a watch, and report it unless the watch is overdue, which has been reported.
+        """Log the end of a watch, and report it after the update that the watch has received last.
 
-        The update that the watch has received last is parsed first.
+        The failure of an overdue watch has been reported before, that of an earlier address is expected.
         """
         if not self.is_open(watch):
             return
@@ -190,7 +195,7 @@
             if self.is_open(watch):
                 self._close_watch(watch)
                 log.warning("discovery watch ended: %s", reason)
-                if not watch.is_overdue:
+                if watch.source is self._source and not watch.is_overdue:
                     self._observer.on_watch_failed(failure)
 
     # Callbacks of the parser of updates.
@@ -199,6 +204,8 @@
         self._observer.on_update(update)
 
     def _on_invalid_update(self, watch: WatchConnection, error: Exception) -> None:
-        """End all watches: those that were opened before the invalid update did not request a snapshot."""
-        self._close_others(watch)
+        """End all watches of the source: the others, opened before the update, request no snapshot."""
+        for other in self._watches_of(watch.source):
+            if other is not watch:
+                self._close_watch(other)
         self.on_ended(watch, WatchFailure.ENDED_BY_DISCOVERY, f"invalid endpoint list update: {error}")
--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Protocol, cast
 
@@ -30,6 +31,22 @@
     """Discovery closed the watch, rejected it or sent something other than valid updates."""
 
 
+@dataclass(slots=True, eq=False)
+class DiscoverySource:
+    """An address of discovery between two reloads; version numbers are specific to it."""
+
+    address: tuple[str, int]
+    """Host and port."""
+    version: int
+    """Version of the latest valid update; 0: none is known, so the next watch requests a snapshot."""
+
+    def watch_request(self) -> bytes:
+        """Return the HTTP request that opens a watch."""
+        host, port = self.address
+        target = f"/discovery/hosts?watch=1&from={self.version}"
+        return f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+
+
 class WatchOwner(Protocol):
     """What a watch needs of the client that opened it."""
 
@@ -37,9 +54,6 @@
     response_timeout_s: float
     """Limit on the time from the opening of the watch to the headers of discovery's response."""
 
-    def watch_request(self) -> bytes:
-        """Return the HTTP request that opens a watch."""
-
     def is_open(self, watch: WatchConnection) -> bool:
         """Return whether a watch has not been closed."""
 
@@ -67,10 +81,11 @@
     and it stays open. A watch that falls silent between two updates ends, as it may have missed changes.
     """
 
-    def __init__(self, owner: WatchOwner) -> None:
+    def __init__(self, owner: WatchOwner, source: DiscoverySource) -> None:
         """Start the timeout for the response headers of the watch."""
+        self.source = source
         self.is_overdue = False
-        self.has_response_headers = False
+        self._has_response_headers = False
         self.connect_task: asyncio.Task[None] | None = None
         self._owner = owner
         self._transport: asyncio.Transport | None = None
@@ -78,7 +93,6 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._splitter = JsonObjectSplitter()
         self._has_received_data = False  # whether any data was complete
-        self._read_at = 0.0  # loop time in s of the latest read from the connection
         self._loop = asyncio.get_running_loop()
         self._opened_at = self._loop.time()
         self._hold_at_opening_ns = owner.hold_detector.total_hold_ns()
@@ -135,15 +149,14 @@
     def _on_data_timeout(self) -> None:
         """Let a watch be overdue whose first data, or whose present update, may still arrive; end another."""
         reason = "no complete data from discovery in time"
-        if self._has_received_data and not self._is_receiving():
-            self._end_watch(WatchFailure.SILENT, reason)
-        else:
+        if self.is_receiving():
             self._become_overdue(WatchFailure.SILENT, reason)
+        else:
+            self._end_watch(WatchFailure.SILENT, reason)
 
-    def _is_receiving(self) -> bool:
-        """Return whether a part of an update has arrived, the latest piece of it not long ago."""
-        silence_s = self._loop.time() - self._read_at
-        return self.has_partial_update() and silence_s < discovery_limits.DATA_TIMEOUT_S
+    def is_receiving(self) -> bool:
+        """Return whether a response has begun whose first data, or whose present update, is incomplete."""
+        return self._has_response_headers and (not self._has_received_data or self.has_partial_update())
 
     def has_partial_update(self) -> bool:
         """Return whether a part of an update has arrived, and not the rest."""
@@ -158,7 +171,7 @@
         self._transport = transport = cast(asyncio.Transport, transport)
         if self._owner.is_open(self):
             self._parser = httptools.HttpResponseParser(self)
-            transport.write(self._owner.watch_request())
+            transport.write(self.source.watch_request())
         else:
             transport.abort()
 
@@ -167,7 +180,6 @@
         parser = self._parser
         if parser is None:
             return
-        self._read_at = self._loop.time()
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -196,7 +208,7 @@
 
     def _on_response_headers(self) -> None:
         """Start the timeout for first data; that of an overdue watch starts now."""
-        self.has_response_headers = True
+        self._has_response_headers = True
         self._owner.on_response_headers(self)
         first_data_timeout_s = discovery_limits.FIRST_DATA_TIMEOUT_S
         began_at = self._loop.time() if self.is_overdue else self._opened_at
--- a/moleport/node/update_parser.py
+++ b/moleport/node/update_parser.py
@@ -32,20 +32,17 @@
 
 
 class UpdateParser:
-    """Parses the JSON objects of watches, and keeps the version of the latest valid update."""
+    """Parses the JSON objects of watches, and keeps the version of the latest valid update of each source."""
 
     def __init__(
         self,
-        version: int,
         on_update: Callable[[WatchConnection, DiscoveryUpdate], None],
         on_invalid: Callable[[WatchConnection, Exception], None],
     ) -> None:
-        """Start at `version`, the version of the list that is known.
+        """Call `on_update` with each valid update and the watch that received it.
 
-        `on_update` is called with each valid update and the watch that received it, `on_invalid` with the
-        watch and the error of each invalid one.
+        `on_invalid` is called with the watch and the error of each invalid update.
         """
-        self.version = version
         self._on_update = on_update
         self._on_invalid = on_invalid
         self._partial_update: _PartialUpdate | None = None
@@ -61,9 +58,10 @@
             # A discovery update with an older version than the current one, even a snapshot, is rejected,
             # because it would revert newer changes. If discovery has restarted its version count, the next
             # watch, which requests a snapshot, accepts the update.
-            if version < self.version:
+            current_version = watch.source.version
+            if version < current_version:
                 raise EndpointListError(
-                    f"update version {version} is older than the current version {self.version}"
+                    f"update version {version} is older than the current version {current_version}"
                 )
         except (ValueError, RecursionError, EndpointListError) as error:
             self._reject(watch, error)
@@ -104,7 +102,7 @@
             return
         if len(update.endpoints) == len(update.entries):
             self._partial_update = None
-            self.version = update.version
+            update.watch.source.version = update.version
             self._on_update(
                 update.watch,
                 DiscoveryUpdate(update.version, update.is_snapshot, tuple(update.endpoints)),
@@ -114,5 +112,5 @@
         """Discard an invalid update."""
         self._partial_update = None
         # The changes in a rejected discovery update are unknown, so the next watch requests a snapshot.
-        self.version = 0
+        watch.source.version = 0
         self._on_invalid(watch, error)
--- a/scale/lists.py
+++ b/scale/lists.py
@@ -207,7 +207,7 @@
         agent.push(data)
         async with asyncio.timeout(TIMEOUT_SECONDS):
             while (
-                node.endpoint_list.discovery._parser.version < version
+                node.endpoint_list.discovery._source.version < version
                 or node.endpoint_list._pending_endpoints
             ):
                 await asyncio.sleep(0)
@@ -244,7 +244,7 @@
     hold_detector = HoldDetector(Telemetry(trace=False))
     limits = WatchLimits.of_mode(api.DiscoveryMode.PUSH)
     discovery = DiscoveryClient(("127.0.0.1", 1), 0, observer, hold_detector, limits)
-    watch = WatchConnection(discovery)
+    watch = WatchConnection(discovery, discovery._source)
     discovery._watches.append(watch)
     started_at = thread_time()
     for begin in range(0, len(data), READ_BYTES):
@@ -265,7 +265,7 @@
     while len(node._ready_endpoint_ids) < size:
         await asyncio.sleep(0)
     discovery = node.endpoint_list.discovery
-    watch = WatchConnection(discovery)
+    watch = WatchConnection(discovery, discovery._source)
     discovery._watches.append(watch)
     measurements = []
     for number in range(20):
--- a/tests/node/test_json_stream.py
+++ b/tests/node/test_json_stream.py
@@ -40,9 +40,10 @@
 
     async def test() -> None:
         owner = Owner()
+        source = discovery.DiscoverySource(("127.0.0.1", 1), version=0)
         owner.seen = []
         owner.hold_detector = HoldDetector(Telemetry(trace=False))
-        watch = discovery.WatchConnection(owner)  # type: ignore[arg-type]
+        watch = discovery.WatchConnection(owner, source)  # type: ignore[arg-type]
         data = b"\n".join(json.dumps(item, indent=indent, ensure_ascii=False).encode() for item in objects)
         for begin in range(0, len(data), piece_bytes):
             watch.on_body(data[begin : begin + piece_bytes])
--- a/tests/node/test_slow_discovery.py
+++ b/tests/node/test_slow_discovery.py
@@ -11,11 +11,13 @@
 from slow_discovery import SlowDiscovery
 
 from moleport.config.endpoints import parse_address
+from moleport.node import discovery_limits
 from moleport.node.discovery_limits import MAX_RECEIVING_WATCHES
 from moleport.node.name_hashing import hash_name
 
 NOTIFICATION_LIMIT_S = 6.0  # from a change of the endpoint list until the node has to know it
 RELOAD_LIMIT_S = 4.0  # the same from a reload of the configuration
+OLD_ADDRESS_CLOSES_S = 1.5  # from a reload until the earlier address of discovery closes its connections
 
 
 def document(mode: str, discovery: SlowDiscovery | None, *servers: Server) -> dict[str, Any]:
@@ -141,6 +143,53 @@
     run(test())
 
 
+def test_the_older_list_of_a_slower_watch_does_not_replace_a_newer_one() -> None:
+    """Guards against reverting a drain by the response to a call from before it."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained, wait=2.0) as discovery,
+            Rig(document("pushed", discovery, first, drained)) as rig,
+        ):
+            await until(lambda: discovery.calls == 1)
+            await asyncio.sleep(0.1)
+            discovery.wait_seconds = 0.2
+            drained.state = "Terminating"
+            await discovery.change()
+            await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            assert discovery.calls == 2
+            await asyncio.sleep(2.0)
+            assert ready_names(rig, first, drained) == {"s-1"}
+            assert (discovery.calls, discovery.open) == (2, 1)
+
+    run(test())
+
+
+def test_a_discovery_slower_than_the_limit_on_open_watches_allows_is_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against giving up each watch for a newer one before its response."""
+    monkeypatch.setattr(discovery_limits, "AGENT_RESPONSE_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(discovery_limits, "AGENT_MAX_OPEN_WATCHES", 3)
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained, wait=2.0) as discovery,
+            Rig(document("pushed", discovery, first, drained)) as rig,
+        ):
+            drained.state = "Terminating"
+            await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            assert discovery.calls > 5
+            # A connection that the node has closed may not be noticed yet.
+            assert discovery.most_open <= 4
+
+    run(test())
+
+
 @pytest.mark.parametrize("wait", [1.0, 2.0])
 def test_a_watch_that_was_cut_is_replaced_by_a_slow_one_in_time(wait: float) -> None:
     """Guards against losing a drain that begins as the watch breaks, while new watches are slow."""
@@ -244,3 +293,32 @@
             await until(lambda: old.open == 0)
 
     run(test())
+
+
+def test_reloads_in_quick_succession_do_not_start_the_wait_for_a_slow_discovery_again() -> None:
+    """Guards against dropping, at the second reload, a response that counts as notified after the first."""
+
+    async def test() -> None:
+        async with (
+            Server("s-1") as first,
+            Server("s-2") as drained,
+            SlowDiscovery(first, drained) as old,
+            SlowDiscovery(first, drained, wait=2.0) as second,
+            SlowDiscovery(first, drained, wait=2.0) as third,
+            SlowDiscovery(first, drained, wait=2.0) as fourth,
+            Rig(document("pushed", old, first, drained)) as rig,
+        ):
+            await until(lambda: old._watches)
+            drained.state = "Terminating"
+            async with asyncio.timeout(RELOAD_LIMIT_S):
+                for previous, new in ((old, second), (second, third), (third, fourth)):
+                    rig.node.reload(replace(rig.config, discovery_address=parse_address(new.address)))
+                    asyncio.get_running_loop().call_later(OLD_ADDRESS_CLOSES_S, previous.cut)
+                    await asyncio.sleep(1.2)
+                await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            await until(lambda: (old.open, second.open, third.open, fourth.open) == (0, 0, 0, 1))
+            drained.state = "Ready"
+            await fourth.change(drained)
+            await until(lambda: ready_names(rig, first, drained) == {"s-1", "s-2"})
+
+    run(test())
--- a/tests/slow_discovery.py
+++ b/tests/slow_discovery.py
@@ -26,7 +26,6 @@
         self.head_seconds = head
         self.body_seconds = body
         self.stalls = False  # sends a part of the list only
-        self.head_prefix = b""  # interim responses
         self.is_silent = False  # accepts watches, and never answers those that begin meanwhile
         self.version = 41
         self.calls = 0
@@ -86,9 +85,9 @@
     async def _answer(self, writer: asyncio.StreamWriter) -> None:
         if self.is_silent:
             return
+        update = self._chunk(self.servers, full=True)  # as of the call
         await asyncio.sleep(self.wait_seconds)
-        await self._send(writer, self.head_prefix + WATCH_HEAD, self.head_seconds)
-        update = self._chunk(self.servers, full=True)
+        await self._send(writer, WATCH_HEAD, self.head_seconds)
         if self.stalls:
             writer.write(update[: len(update) // 2])
             return
