--- a/moleport/node/discovery_client.py
+++ b/moleport/node/discovery_client.py
@@ -149,6 +149,8 @@
 
     def on_response_headers(self, watch: WatchConnection) -> None:
         """Close an overdue watch, one of an earlier address, or else `watch`, if too many receive updates."""
+        if watch.is_overdue:
+            log.info("discovery has responded on an overdue watch, after %.1f s", watch.age_s())
         receiving = [other for other in self._watches if other is not watch and other.is_receiving()]
         if len(receiving) >= discovery_limits.MAX_RECEIVING_WATCHES:
             dispensable = (
--- a/moleport/node/discovery_watch.py
+++ b/moleport/node/discovery_watch.py
@@ -158,6 +158,10 @@
         """Return whether a response has begun whose first data, or whose present update, is incomplete."""
         return self._has_response_headers and (not self._has_received_data or self.has_partial_update())
 
+    def age_s(self) -> float:
+        """Return the time since the opening of the watch in s."""
+        return self._loop.time() - self._opened_at
+
     def has_partial_update(self) -> bool:
         """Return whether a part of an update has arrived, and not the rest."""
         return not self._splitter.is_between_objects()
