--- a/moleport/node/discovery_client.py
+++ b/moleport/node/discovery_client.py
@@ -22,14 +22,14 @@
 
     response_timeout_s: float
     """Time from the opening of a watch until it is overdue without response headers."""
-    max_open_watches: int
+    max_watch_count: int
 
     @classmethod
     def of_mode(cls, mode: DiscoveryMode) -> WatchLimits:
         """Return the limits of an agent, which pushes lists, or of a shared service, which is polled."""
         if mode is DiscoveryMode.PUSH:
-            return cls(discovery_limits.AGENT_RESPONSE_TIMEOUT_S, discovery_limits.AGENT_MAX_OPEN_WATCHES)
-        return cls(discovery_limits.SHARED_RESPONSE_TIMEOUT_S, discovery_limits.SHARED_MAX_OPEN_WATCHES)
+            return cls(discovery_limits.AGENT_RESPONSE_TIMEOUT_S, discovery_limits.AGENT_MAX_WATCH_COUNT)
+        return cls(discovery_limits.SHARED_RESPONSE_TIMEOUT_S, discovery_limits.SHARED_MAX_WATCH_COUNT)
 
 
 class DiscoveryObserver(Protocol):
@@ -67,7 +67,7 @@
         """
         self.response_timeout_s = limits.response_timeout_s
         self.hold_detector = hold_detector
-        self._max_open_watches = limits.max_open_watches
+        self._max_watch_count = limits.max_watch_count
         self._source = DiscoverySource(address, version)
         self._parser = UpdateParser(self._on_parsed, self._on_invalid_update)
         self._observer = observer
@@ -78,7 +78,7 @@
         """Open a watch, unless one that is not overdue is open or being opened at the current address."""
         if any(not watch.is_overdue for watch in self._watches_of(self._source)):
             return
-        if len(self._watches) >= self._max_open_watches:
+        if len(self._watches) >= self._max_watch_count:
             self._give_up_one()
         watch = WatchConnection(self, self._source)
         self._watches.append(watch)
@@ -152,7 +152,7 @@
         if watch.is_overdue:
             log.info("discovery has responded on an overdue watch, after %.1f s", watch.age_s())
         receiving = [other for other in self._watches if other is not watch and other.is_receiving()]
-        if len(receiving) >= discovery_limits.MAX_RECEIVING_WATCHES:
+        if len(receiving) >= discovery_limits.MAX_RECEIVING_WATCH_COUNT:
             dispensable = (
                 other for other in receiving if other.is_overdue or other.source is not self._source
             )
--- a/moleport/node/discovery_limits.py
+++ b/moleport/node/discovery_limits.py
@@ -40,9 +40,9 @@
 DATA_TIMEOUT_S = WATCH_SILENCE_NS / NS_PER_SECOND  # between two receptions of data on a watch
 # Limits on the watches that one node has open at once, for an agent and for a service that all nodes share.
 # Their descriptors are part of the reserve of the node.
-AGENT_MAX_OPEN_WATCHES = 8
-SHARED_MAX_OPEN_WATCHES = 3
+AGENT_MAX_WATCH_COUNT = 8
+SHARED_MAX_WATCH_COUNT = 3
 # Limit on the watches that one node receives partial updates on, as each of them buffers its update.
-MAX_RECEIVING_WATCHES = 2
+MAX_RECEIVING_WATCH_COUNT = 2
 # Time for which an overdue watch stays open; if too many are open, only the oldest has this time.
 OVERDUE_PATIENCE_S = 30.0
