Keep the name of the field that the trace gives to a watch's failure

Cause: with WatchEnd renamed, the trace of watch_failed had its field end renamed too; names that leave the process stay as they are.

Change: the field is end again.

--- a/moleport/node/endpoint_list.py
+++ b/moleport/node/endpoint_list.py
@@ -120,7 +120,7 @@
     def on_watch_failed(self, failure: WatchFailure) -> None:
         """In push mode open another watch after a backoff; in poll mode report the failure to the policy."""
         self._initial_wait.on_watch_failed(failure)
-        self._telemetry.count(Event.WATCH_FAILED, failure=failure.name)
+        self._telemetry.count(Event.WATCH_FAILED, end=failure.name)
         if self._is_push_mode:
             self._loop.call_later(self._backoff.next_delay_seconds(), self.discovery.open_watch)
             return
