--- a/tests/node/test_slow_discovery.py
+++ b/tests/node/test_slow_discovery.py
@@ -149,13 +149,14 @@
         async with two_servers("pushed", wait=2.0) as (first, drained, discovery, rig):
             await until(lambda: discovery.calls == 1)
             await asyncio.sleep(0.1)
-            discovery.wait_seconds = 0.0
+            discovery.wait_seconds = 0.2
             drained.state = "Terminating"
             await discovery.change()
             await until(lambda: ready_names(rig, first, drained) == {"s-1"})
+            assert discovery.calls == 2
             await asyncio.sleep(2.0)  # the first call is answered
             assert ready_names(rig, first, drained) == {"s-1"}
-            assert discovery.open == 1
+            assert (discovery.calls, discovery.open) == (2, 1)
 
     run(test())
 
@@ -241,8 +242,8 @@
             {"wait": 1.0},
             {"wait": 2.0},
             {"wait": 3.0},
-            {"body": 3.0},
-            {"wait": 1.5, "body": 1.5},
+            {"body": 3.5},
+            {"wait": 1.5, "body": 2.0},
         ]
         results = await asyncio.gather(*(play_start(**delays) for delays in slow_starts))
         assert [result for result in results if result[0] != {"s-1"}] == []
